--- /dev/null
+++ b/core/declarer/document.go
@@ -0,0 +1,299 @@
+package declarer
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+
+	"heatherhold.dev/core/decoder"
+	"heatherhold.dev/core/identifier"
+)
+
+// Key names one section: "base/rank/urgent" or "site/getxo/rank/urgent".
+type Key string
+
+// Document is every declared section as TOML, by its key.
+type Document map[Key][]byte
+
+// File is one file that an operator hands in.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// Change sets sections; an empty value deletes one.
+type Change map[Key][]byte
+
+type layer struct {
+	file  File
+	site  identifier.Site
+	tree  map[string]any
+	lines map[string]int
+}
+
+// header is what every file may hold: all sections, and an overlay's site.
+type header struct {
+	Site identifier.Site `toml:"site"`
+	Declaration
+}
+
+// Parse reads one base file and any overlays and checks them together, for
+// every site. It returns all faults that it finds, joined.
+func Parse(files []File) (Document, error) {
+	layers, err := parseLayers(files)
+	if err != nil {
+		return nil, err
+	}
+	doc := make(Document)
+	for _, l := range layers {
+		if err := doc.add(l); err != nil {
+			return nil, err
+		}
+	}
+	if err := verify(doc, layers); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+func parseLayers(files []File) ([]layer, error) {
+	var layers []layer
+	seen := make(map[identifier.Site]string)
+	for _, f := range files {
+		l, err := parseLayer(f)
+		if err != nil {
+			return nil, err
+		}
+		if other, taken := seen[l.site]; taken {
+			return nil, &decoder.Error{
+				File:   f.Name,
+				Line:   max(l.lines["site"], 1),
+				Key:    "site",
+				Detail: fmt.Sprintf("%s declares %s already", other, placeOf(l.site)),
+			}
+		}
+		seen[l.site] = f.Name
+		layers = append(layers, l)
+	}
+	if _, ok := seen[""]; !ok {
+		return nil, errors.New("no base file: one file must have no \"site\" key")
+	}
+	return layers, nil
+}
+
+func placeOf(site identifier.Site) string {
+	if site == "" {
+		return "the base"
+	}
+	return fmt.Sprintf("site %q", site)
+}
+
+func parseLayer(f File) (layer, error) {
+	var h header
+	if err := decoder.Strict(f.Name, f.Data, &h); err != nil {
+		return layer{}, err
+	}
+	tree := make(map[string]any)
+	if err := toml.Unmarshal(f.Data, &tree); err != nil {
+		return layer{}, errors.Wrap(err, f.Name)
+	}
+	delete(tree, "site")
+	return layer{
+		file:  f,
+		site:  h.Site,
+		tree:  tree,
+		lines: decoder.Lines(f.Data),
+	}, nil
+}
+
+func (doc Document) add(l layer) error {
+	for kind, group := range l.tree {
+		sections, ok := group.(map[string]any)
+		if !ok {
+			return errors.Errorf("%s: %s: want named sections", l.file.Name, kind)
+		}
+		for name, section := range sections {
+			data, err := toml.Marshal(section)
+			if err != nil {
+				return errors.Wrapf(err, "%s: %s.%s", l.file.Name, kind, name)
+			}
+			if len(data) == 0 {
+				data = []byte("\n")
+			}
+			doc[keyFor(l.site, kind, name)] = data
+		}
+	}
+	return nil
+}
+
+func keyFor(site identifier.Site, kind, name string) Key {
+	if site == "" {
+		return Key("base/" + kind + "/" + name)
+	}
+	return Key("site/" + string(site) + "/" + kind + "/" + name)
+}
+
+// verify checks the merged declaration of every site and names the line of
+// the layer that set the faulty key.
+func verify(doc Document, layers []layer) error {
+	for _, l := range layers {
+		d, err := doc.At(l.site)
+		if err != nil {
+			return err
+		}
+		faults := d.check()
+		if len(faults) == 0 {
+			continue
+		}
+		return located(faults[0], l, layers)
+	}
+	return nil
+}
+
+func located(f fault, l layer, layers []layer) error {
+	for _, from := range append([]layer{l}, layers...) {
+		if from.site != l.site && from.site != "" {
+			continue
+		}
+		if line, ok := from.lines[f.key]; ok {
+			return faultAt(f, from, line)
+		}
+	}
+	// The key itself is missing: name the section that lacks it.
+	section := f.key[:max(strings.LastIndex(f.key, "."), 0)]
+	for _, from := range append([]layer{l}, layers...) {
+		if line, ok := from.lines[section]; ok {
+			return faultAt(f, from, line)
+		}
+	}
+	return faultAt(f, l, 1)
+}
+
+func faultAt(f fault, l layer, line int) error {
+	return &decoder.Error{
+		File:   l.file.Name,
+		Line:   line,
+		Key:    f.key,
+		Detail: f.detail,
+	}
+}
+
+// Check reports the first fault of doc for any site that it names.
+func (doc Document) Check() error {
+	for _, site := range doc.sites() {
+		d, err := doc.At(site)
+		if err != nil {
+			return err
+		}
+		if faults := d.check(); len(faults) > 0 {
+			return errors.Errorf("%s: %s: %s", placeOf(site), faults[0].key, faults[0].detail)
+		}
+	}
+	return nil
+}
+
+func (doc Document) sites() []identifier.Site {
+	sites := []identifier.Site{""}
+	seen := make(map[string]bool)
+	for _, k := range sorted(doc) {
+		parts := strings.Split(string(k), "/")
+		if parts[0] == "site" && len(parts) == 4 && !seen[parts[1]] {
+			seen[parts[1]] = true
+			sites = append(sites, identifier.Site(parts[1]))
+		}
+	}
+	return sites
+}
+
+// At returns the declaration in force at site: the base with the overlay on it.
+func (doc Document) At(site identifier.Site) (*Declaration, error) {
+	tree := make(map[string]any)
+	if err := doc.merge(tree, "base/"); err != nil {
+		return nil, err
+	}
+	if err := doc.merge(tree, "site/"+string(site)+"/"); err != nil {
+		return nil, err
+	}
+	data, err := toml.Marshal(tree)
+	if err != nil {
+		return nil, errors.Wrap(err, "merge declarations")
+	}
+	var d Declaration
+	if err := decoder.Strict(placeOf(site), data, &d); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+func (doc Document) merge(tree map[string]any, prefix string) error {
+	for _, k := range sorted(doc) {
+		rest, ok := strings.CutPrefix(string(k), prefix)
+		if !ok {
+			continue
+		}
+		kind, name, ok := strings.Cut(rest, "/")
+		if !ok {
+			return errors.Errorf("section key %q has no name", k)
+		}
+		section := make(map[string]any)
+		if err := toml.Unmarshal(doc[k], &section); err != nil {
+			return errors.Wrap(err, string(k))
+		}
+		mergeTree(tree, map[string]any{kind: map[string]any{name: section}})
+	}
+	return nil
+}
+
+// mergeTree lays from over into, table by table.
+func mergeTree(into, from map[string]any) {
+	for k, v := range from {
+		child, isTable := v.(map[string]any)
+		old, wasTable := into[k].(map[string]any)
+		if isTable && wasTable {
+			mergeTree(old, child)
+			continue
+		}
+		into[k] = v
+	}
+}
+
+// Diff returns the change that turns doc into next.
+func (doc Document) Diff(next Document) Change {
+	change := make(Change)
+	for k, v := range next {
+		if !bytes.Equal(doc[k], v) {
+			change[k] = v
+		}
+	}
+	for k := range doc {
+		if _, ok := next[k]; !ok {
+			change[k] = nil
+		}
+	}
+	return change
+}
+
+// Apply returns a copy of doc with change made.
+func (doc Document) Apply(change Change) Document {
+	next := maps.Clone(doc)
+	if next == nil {
+		next = make(Document)
+	}
+	for k, v := range change {
+		if len(v) == 0 {
+			delete(next, k)
+			continue
+		}
+		next[k] = v
+	}
+	return next
+}
+
+// Keys returns the keys of the change in order.
+func (c Change) Keys() []Key {
+	return sorted(c)
+}
--- /dev/null
+++ b/core/identifier/identifier.go
@@ -0,0 +1,98 @@
+// Package identifier names the things that heatherhold's programs talk about
+// and the units in which they count.
+package identifier
+
+import (
+	"fmt"
+	"time"
+)
+
+// Names of what the declarations and the platform know.
+type (
+	// Instance names one router process.
+	Instance string
+	// DataCentre names a data centre.
+	DataCentre string
+	// Site names the place whose overlay an instance applies.
+	Site string
+	// Customer names an organisation that owns callers.
+	Customer string
+	// Caller names one key holder of a customer.
+	Caller string
+	// Endpoint names one back end process.
+	Endpoint string
+	// Service names what callers ask for.
+	Service string
+	// Rank names a class of work.
+	Rank string
+	// Request names one request, unique in the whole system.
+	Request string
+	// Version names one version of a model's weights.
+	Version string
+)
+
+// Counted quantities.
+type (
+	// Revision numbers a state of the configuration; it only grows.
+	Revision uint64
+	// Incarnation numbers the lives of an endpoint or instance of one name.
+	Incarnation uint64
+	// Layer numbers a model's layers from 0.
+	Layer int32
+	// Tokens counts tokens.
+	Tokens int64
+	// Fence is a fencing number: endpoints that check it refuse older ones.
+	Fence uint64
+)
+
+// Tier tells paying work from free-tier work.
+type Tier string
+
+// The tiers.
+const (
+	Paying Tier = "paying"
+	Free   Tier = "free"
+)
+
+// Life names one incarnation of an endpoint.
+type Life struct {
+	Endpoint    Endpoint
+	Incarnation Incarnation
+}
+
+// String returns the life as "endpoint#incarnation".
+func (l Life) String() string {
+	return fmt.Sprintf("%s#%d", l.Endpoint, l.Incarnation)
+}
+
+// Stage is one endpoint's part of a chain: layers [From, To) of one version.
+type Stage struct {
+	Life
+	Address string
+	From    Layer
+	To      Layer
+	Version Version
+}
+
+// Duration is a time span that TOML writes with its unit, such as "430ms".
+type Duration time.Duration
+
+// UnmarshalText reads a span such as "27ms" or "9s"; the unit is required.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("want a time with its unit, such as \"430ms\": got %q", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText writes the span with its unit.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns the span as the standard library's type.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
--- /dev/null
+++ b/core/messenger/operator.go
@@ -0,0 +1,134 @@
+package messenger
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// The JSON messages between the operators' command line and a router.
+
+// Configuration is the declarations in force: TOML sections by their key.
+type Configuration struct {
+	Revision uint64            `json:"revision"`
+	Entries  map[string]string `json:"entries"`
+}
+
+// ConfigurationChange sets sections on a base revision; an empty one is deleted.
+type ConfigurationChange struct {
+	Base    uint64            `json:"base"`
+	ID      string            `json:"id"`
+	Entries map[string]string `json:"entries"`
+}
+
+// ConfigurationCommitted says that the table holds the change.
+type ConfigurationCommitted struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Refused is the answer to a change whose base is no longer the latest.
+type Refused struct {
+	Error     string        `json:"error"`
+	Detail    string        `json:"detail"`
+	Latest    uint64        `json:"latest"`
+	Conflicts []Conflicting `json:"conflicts"`
+}
+
+// Conflicting is one section that both sides would change.
+type Conflicting struct {
+	Key    string `json:"key"`
+	Theirs string `json:"theirs"`
+	Yours  string `json:"yours"`
+}
+
+// AcceptanceQuery asks whether a revision is in force everywhere.
+type AcceptanceQuery struct {
+	Revision uint64
+	Wait     time.Duration
+}
+
+// Read reads the query's parameters.
+func (q *AcceptanceQuery) Read(v url.Values) error {
+	revision, err := strconv.ParseUint(v.Get("revision"), 10, 64)
+	if err != nil {
+		return fmt.Errorf("revision: want a number, got %q", v.Get("revision"))
+	}
+	wait, err := time.ParseDuration(v.Get("wait"))
+	if err != nil {
+		return fmt.Errorf("wait: want a time with its unit, got %q", v.Get("wait"))
+	}
+	q.Revision = revision
+	q.Wait = wait
+	return nil
+}
+
+// Values returns the query's parameters.
+func (q AcceptanceQuery) Values() url.Values {
+	return url.Values{
+		"revision": {strconv.FormatUint(q.Revision, 10)},
+		"wait":     {q.Wait.String()},
+	}
+}
+
+// Acceptance says whether a revision is in force everywhere, or who is waited for.
+type Acceptance struct {
+	Revision uint64              `json:"revision"`
+	Accepted bool                `json:"accepted"`
+	Waiting  []AcceptanceWaiting `json:"waiting,omitempty"`
+}
+
+// AcceptanceWaiting is an instance that is not known to have the revision.
+type AcceptanceWaiting struct {
+	Instance string `json:"instance"`
+	Site     string `json:"site"`
+}
+
+// Drain asks that an endpoint's present life gets no new work.
+type Drain struct {
+	Endpoint string `json:"endpoint"`
+}
+
+// Drained lists the lives that were marked.
+type Drained struct {
+	Lives []string `json:"lives"`
+	// Kept is set if the table holds the mark too.
+	Kept bool `json:"kept"`
+}
+
+// Status is one instance's view of the system.
+type Status struct {
+	Instance  string           `json:"instance"`
+	Revision  uint64           `json:"revision"`
+	Confirmed bool             `json:"confirmed"`
+	Stopping  bool             `json:"stopping"`
+	Live      []string         `json:"live"`
+	Members   []StatusMember   `json:"members"`
+	Endpoints []StatusEndpoint `json:"endpoints"`
+	Pools     []StatusPool     `json:"pools"`
+}
+
+// StatusMember is another instance.
+type StatusMember struct {
+	Instance string `json:"instance"`
+	Site     string `json:"site"`
+	Leaving  bool   `json:"leaving"`
+}
+
+// StatusEndpoint is an endpoint that may get new work.
+type StatusEndpoint struct {
+	Service     string `json:"service"`
+	Endpoint    string `json:"endpoint"`
+	Incarnation uint64 `json:"incarnation"`
+	DataCentre  string `json:"data-centre"`
+	Address     string `json:"address"`
+}
+
+// StatusPool is a pool that the instance schedules.
+type StatusPool struct {
+	Service string `json:"service"`
+	// Alone is set while no owner can be reached.
+	Alone   bool `json:"alone"`
+	Waiting int  `json:"waiting"`
+	Running int  `json:"running"`
+}
--- /dev/null
+++ b/operator/requester/requester.go
@@ -0,0 +1,134 @@
+// Package requester sends operators' requests to a router.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/messenger"
+)
+
+const (
+	timeout   = 40 * time.Second
+	bodyLimit = 64 << 20 // bytes
+)
+
+// Client talks to one router. Its fields are set first.
+type Client struct {
+	// URL is the router's operator address.
+	URL string
+	// Key is the operator's bearer key.
+	Key string
+}
+
+// RefusedError is a router's refusal.
+type RefusedError struct {
+	Body classifier.BodyError
+}
+
+// Error returns the refusal in one line.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s (%s)", e.Body.Message, e.Body.Kind)
+}
+
+// ConflictError says that the base of a change is no longer the latest.
+type ConflictError struct {
+	Refused messenger.Refused
+}
+
+// Error returns the conflict in one line.
+func (e *ConflictError) Error() string {
+	return e.Refused.Detail
+}
+
+// Unknown reports whether a change that failed with err may have taken effect.
+func Unknown(err error) bool {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return classifier.AnswerOf(refused.Body.Kind).Ran == classifier.RanUnknown
+	}
+	var conflict *ConflictError
+	return !errors.As(err, &conflict)
+}
+
+// Configuration reads the declarations in force.
+func (c *Client) Configuration(ctx context.Context) (messenger.Configuration, error) {
+	var out messenger.Configuration
+	err := c.call(ctx, http.MethodGet, "/v1/configuration", nil, &out)
+	return out, err
+}
+
+// Change commits a change and returns its revision.
+func (c *Client) Change(ctx context.Context, m messenger.ConfigurationChange) (uint64, error) {
+	var out messenger.ConfigurationCommitted
+	err := c.call(ctx, http.MethodPost, "/v1/configuration", m, &out)
+	return out.Revision, err
+}
+
+// Acceptance asks whether a revision is in force everywhere.
+func (c *Client) Acceptance(ctx context.Context, q messenger.AcceptanceQuery) (messenger.Acceptance, error) {
+	var out messenger.Acceptance
+	err := c.call(ctx, http.MethodGet, "/v1/acceptance?"+q.Values().Encode(), nil, &out)
+	return out, err
+}
+
+// Status reads the router's view.
+func (c *Client) Status(ctx context.Context) (messenger.Status, error) {
+	var out messenger.Status
+	err := c.call(ctx, http.MethodGet, "/v1/status", nil, &out)
+	return out, err
+}
+
+// Drain marks an endpoint as leaving.
+func (c *Client) Drain(ctx context.Context, endpoint string) (messenger.Drained, error) {
+	var out messenger.Drained
+	err := c.call(ctx, http.MethodPost, "/v1/drains", messenger.Drain{Endpoint: endpoint}, &out)
+	return out, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "router not reached")
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, bodyLimit))
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if res.StatusCode != http.StatusOK {
+		return refusal(data)
+	}
+	return errors.Wrap(json.Unmarshal(data, out), "decode answer")
+}
+
+func refusal(data []byte) error {
+	var conflict messenger.Refused
+	if err := json.Unmarshal(data, &conflict); err == nil && conflict.Error == string(classifier.Conflict) {
+		return &ConflictError{Refused: conflict}
+	}
+	var body classifier.Body
+	if err := json.Unmarshal(data, &body); err != nil {
+		return errors.Errorf("the router answered %q", data)
+	}
+	return &RefusedError{Body: body.Error}
+}
--- /dev/null
+++ b/router/components.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.uber.org/fx"
+
+	"heatherhold.dev/router/acquirer"
+	"heatherhold.dev/router/claimer"
+	"heatherhold.dev/router/committer"
+	"heatherhold.dev/router/controller"
+	"heatherhold.dev/router/dialer"
+	"heatherhold.dev/router/driver"
+	"heatherhold.dev/router/forwarder"
+	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/keeper"
+	"heatherhold.dev/router/loader"
+	"heatherhold.dev/router/looper"
+	"heatherhold.dev/router/observer"
+	"heatherhold.dev/router/overseer"
+	"heatherhold.dev/router/reporter"
+	"heatherhold.dev/router/server"
+	"heatherhold.dev/router/streamer"
+)
+
+// Retry budgets: retries earned by each fresh request, and saved up at most.
+const (
+	retryRatio = 0.1
+	retryBurst = 50
+	// claimPatience is how long a call waits for another under its key.
+	claimPatience = 5 * time.Second
+	spanTimeout   = 5 * time.Second
+)
+
+// components builds each part from the settings.
+var components = fx.Options(
+	fx.Provide(
+		newLog,
+		looper.New,
+		observer.New,
+		newPlatform,
+		newEngine,
+		newDialer,
+		newGranter,
+		controller.New,
+		newAcquirer,
+		newClaimer,
+		newReporter,
+		newServer,
+		newOverseer,
+	),
+	fx.Invoke(wireController),
+)
+
+func newLog(s *loader.Settings) (logrus.FieldLogger, error) {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, errors.Wrap(err, "log-level")
+	}
+	log.SetLevel(level)
+	if s.LogFormat == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log.WithField("instance", s.Instance), nil
+}
+
+func newPlatform(s *loader.Settings) keeper.Platform {
+	return &keeper.Client{
+		URL:     s.Platform.URL,
+		Timeout: s.Platform.Timeout.Std(),
+	}
+}
+
+func newEngine() driver.Engine {
+	return &driver.Client{}
+}
+
+func newDialer(s *loader.Settings) (*dialer.Dialer, error) {
+	if s.Peer.Security == "plain" {
+		return &dialer.Dialer{}, nil
+	}
+	config, err := dialer.Configure(s.Peer.Certificate, s.Peer.Key, s.Peer.Authority)
+	if err != nil {
+		return nil, err
+	}
+	return &dialer.Dialer{TLS: config}, nil
+}
+
+func newGranter(s *loader.Settings, loop *looper.Loop, engine driver.Engine, o *observer.Observer, log logrus.FieldLogger) *granter.Granter {
+	g := granter.New(loop)
+	g.Engine = engine
+	g.Observer = o
+	g.Log = log
+	g.Lease = s.Peer.Silence.Std()
+	return g
+}
+
+// wireController sets what the controller and the granter need of each other.
+func wireController(c *controller.Controller, p keeper.Platform, d *dialer.Dialer, o *observer.Observer, g *granter.Granter, log logrus.FieldLogger) {
+	c.Platform = p
+	c.Committer = &committer.Committer{Platform: p}
+	c.Dialer = d
+	c.Observer = o
+	c.Granter = g
+	c.Log = log
+	g.Leaving = c.MarkOnLoop
+}
+
+func newAcquirer(s *loader.Settings, o *observer.Observer, d *dialer.Dialer, g *granter.Granter, log logrus.FieldLogger) *acquirer.Acquirer {
+	a := acquirer.New()
+	a.Self = s.Instance
+	a.Observer = o
+	a.Dialer = d
+	a.Granter = g
+	a.Log = log
+	a.Silence = s.Peer.Silence.Std()
+	return a
+}
+
+func newClaimer(p keeper.Platform) *claimer.Claimer {
+	c := claimer.New()
+	c.Table = p
+	c.Patience = claimPatience
+	return c
+}
+
+// newReporter sends sampled spans to the settings' collector, if there is one.
+func newReporter(s *loader.Settings, lc fx.Lifecycle) (*reporter.Reporter, error) {
+	options := []sdktrace.TracerProviderOption{
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.Trace.Sample))),
+	}
+	if s.Trace.URL != "" {
+		exporter, err := otlptracehttp.New(context.Background(),
+			otlptracehttp.WithEndpointURL(s.Trace.URL),
+			otlptracehttp.WithTimeout(spanTimeout))
+		if err != nil {
+			return nil, errors.Wrap(err, "trace.url")
+		}
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	provider := sdktrace.NewTracerProvider(options...)
+	lc.Append(fx.Hook{OnStop: provider.Shutdown})
+	return reporter.New(provider.Tracer("heatherhold")), nil
+}
+
+func newServer(s *loader.Settings, o *observer.Observer, a *acquirer.Acquirer, e driver.Engine, c *claimer.Claimer, p *reporter.Reporter, ctl *controller.Controller, log logrus.FieldLogger) *server.Server {
+	return &server.Server{
+		Observer: o,
+		Streamer: &streamer.Streamer{
+			Tickets: a,
+			Engine:  e,
+			Watcher: p,
+			Budget:  newBudget(),
+			Log:     log,
+			Leaving: ctl.MarkLeaving,
+		},
+		Forwarder: &forwarder.Forwarder{
+			Observer: o,
+			Claimer:  c,
+			Budget:   newBudget(),
+			Log:      log,
+		},
+		Reporter:     p,
+		Log:          log,
+		DataCentre:   s.DataCentre,
+		BodyLimit:    s.Caller.BodyLimit,
+		BodyTimeout:  s.Caller.BodyTimeout.Std(),
+		WriteTimeout: s.Caller.WriteTimeout.Std(),
+	}
+}
+
+func newBudget() *streamer.Budget {
+	return &streamer.Budget{
+		Ratio: retryRatio,
+		Burst: retryBurst,
+	}
+}
+
+func newOverseer(s *loader.Settings, c *controller.Controller, g *granter.Granter, o *observer.Observer, log logrus.FieldLogger) *overseer.Overseer {
+	return &overseer.Overseer{
+		Instance:   s.Instance,
+		Controller: c,
+		Granter:    g,
+		Observer:   o,
+		Bootstrap:  s.Operator.KeySHA256,
+		Log:        log,
+	}
+}
+
+// serverTLS returns the TLS configuration of a listener; nil means plain.
+func serverTLS(certificate, key string) (*tls.Config, error) {
+	if certificate == "" {
+		return nil, nil
+	}
+	pair, err := tls.X509KeyPair([]byte(certificate), []byte(key))
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate and key")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{pair},
+		MinVersion:   tls.VersionTLS12,
+	}, nil
+}
--- /dev/null
+++ b/router/granter/wire.go
@@ -0,0 +1,106 @@
+package granter
+
+import (
+	"time"
+
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/scheduler"
+)
+
+func askOf(a *messenger.Ask) scheduler.Ask {
+	ask := scheduler.Ask{
+		Request:  identifier.Request(a.GetRequest()),
+		Customer: identifier.Customer(a.GetCustomer()),
+		Rank:     identifier.Rank(a.GetRank()),
+		Tier:     identifier.Paying,
+		Weight:   a.GetWeight(),
+		Entry:    identifier.DataCentre(a.GetDataCentre()),
+		Prompt:   identifier.Tokens(a.GetPromptTokens()),
+		Output:   identifier.Tokens(a.GetOutputTokens()),
+		Prefix:   a.GetPrefix(),
+		Version:  identifier.Version(a.GetVersion()),
+		Resumed:  a.GetResumed(),
+	}
+	if a.GetFree() {
+		ask.Tier = identifier.Free
+	}
+	for _, m := range a.GetAvoid() {
+		ask.Avoid = append(ask.Avoid, identifier.Life{
+			Endpoint:    identifier.Endpoint(m.GetEndpoint()),
+			Incarnation: identifier.Incarnation(m.GetIncarnation()),
+		})
+	}
+	return ask
+}
+
+func heldOf(h *messenger.Held) scheduler.Held {
+	return scheduler.Held{
+		Ask:   askOf(h.GetAsk()),
+		Chain: ChainOf(h.GetChain()),
+	}
+}
+
+func outcomeOf(r *messenger.Release) scheduler.Outcome {
+	return scheduler.Outcome{
+		Tokens: identifier.Tokens(r.GetTokens()),
+		Failed: identifier.Life{
+			Endpoint:    identifier.Endpoint(r.GetFailed()),
+			Incarnation: identifier.Incarnation(r.GetFailedIncarnation()),
+		},
+		Gap: time.Duration(r.GetGapMicros()) * time.Microsecond,
+	}
+}
+
+func add(m *messenger.FromOwner, d scheduler.Decision) {
+	switch d.Verdict {
+	case scheduler.Granted:
+		m.Grants = append(m.Grants, &messenger.Grant{
+			Request: string(d.Request),
+			Chain:   StagesOf(d.Chain),
+		})
+	case scheduler.Refused:
+		m.Refusals = append(m.Refusals, &messenger.Refusal{
+			Request:      string(d.Request),
+			Kind:         string(d.Kind),
+			Detail:       d.Detail,
+			RetryAfterMs: d.RetryAfter.Milliseconds(),
+		})
+	case scheduler.Revoked:
+		m.Revoked = append(m.Revoked, string(d.Request))
+	}
+}
+
+// ChainOf returns wire stages as a chain.
+func ChainOf(stages []*messenger.Stage) []identifier.Stage {
+	chain := make([]identifier.Stage, 0, len(stages))
+	for _, s := range stages {
+		chain = append(chain, identifier.Stage{
+			Life: identifier.Life{
+				Endpoint:    identifier.Endpoint(s.GetEndpoint()),
+				Incarnation: identifier.Incarnation(s.GetIncarnation()),
+			},
+			Address: s.GetAddress(),
+			From:    identifier.Layer(s.GetFrom()),
+			To:      identifier.Layer(s.GetTo()),
+			Version: identifier.Version(s.GetVersion()),
+		})
+	}
+	return chain
+}
+
+// StagesOf returns a chain as wire stages.
+func StagesOf(chain []identifier.Stage) []*messenger.Stage {
+	stages := make([]*messenger.Stage, 0, len(chain))
+	for _, s := range chain {
+		stages = append(stages, &messenger.Stage{
+			Endpoint:    string(s.Endpoint),
+			Address:     s.Address,
+			Incarnation: uint64(s.Incarnation),
+			From:        int32(s.From),
+			To:          int32(s.To),
+			Version:     string(s.Version),
+		})
+	}
+	return stages
+}
--- /dev/null
+++ b/router/keeper/keeper.go
@@ -0,0 +1,164 @@
+// Package keeper talks to the platform: its table service, object store and
+// instance list. Platform is the narrow interface that another platform's
+// adapter would fill.
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"heatherhold.dev/core/messenger"
+)
+
+// ErrDown says that the platform gave no answer that could be used. A commit
+// that fails so may have taken effect all the same.
+var ErrDown = errors.New("platform gave no answer")
+
+// ErrMissing says that there is no such object.
+var ErrMissing = errors.New("no such object")
+
+// Table is the platform's transactional table service.
+type Table interface {
+	// Commit makes one transaction; it returns the rows that stood against it.
+	Commit(ctx context.Context, c messenger.Commit) ([]messenger.Row, error)
+	// Row reads one row; version 0 means that there is none.
+	Row(ctx context.Context, key string) (messenger.Row, error)
+	// Scan reads the rows with a prefix whose keys follow after.
+	Scan(ctx context.Context, prefix, after string) ([]messenger.Row, error)
+}
+
+// Platform is all that the router needs of the platform.
+type Platform interface {
+	Table
+	Object(ctx context.Context, key string) ([]byte, error)
+	PutObject(ctx context.Context, key string, data []byte) error
+	// List reads the lagging list of live and leaving instances.
+	List(ctx context.Context) ([]messenger.Listed, error)
+	// Announce enters an instance in the list, where the platform wants that.
+	Announce(ctx context.Context, l messenger.Listed) error
+	// Withdraw takes an instance from the list.
+	Withdraw(ctx context.Context, name string) error
+}
+
+const maxBody = 64 << 20 // bytes
+
+// Client is the Platform over HTTP. A request that gets no answer within
+// Timeout is given up and its connection closed.
+type Client struct {
+	URL     string
+	Timeout time.Duration
+
+	once   sync.Once
+	client http.Client
+}
+
+// Commit makes one transaction.
+func (c *Client) Commit(ctx context.Context, t messenger.Commit) ([]messenger.Row, error) {
+	body, err := json.Marshal(t)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode commit")
+	}
+	var out messenger.Committed
+	_, err = c.call(ctx, http.MethodPost, "/v1/table/commit", body, &out)
+	return out.Conflicts, err
+}
+
+// Row reads one row.
+func (c *Client) Row(ctx context.Context, key string) (messenger.Row, error) {
+	var row messenger.Row
+	_, err := c.call(ctx, http.MethodGet, "/v1/table/rows?key="+url.QueryEscape(key), nil, &row)
+	return row, err
+}
+
+// Scan reads rows by prefix.
+func (c *Client) Scan(ctx context.Context, prefix, after string) ([]messenger.Row, error) {
+	q := url.Values{
+		"prefix": {prefix},
+		"after":  {after},
+	}
+	var rows messenger.Rows
+	_, err := c.call(ctx, http.MethodGet, "/v1/table/scan?"+q.Encode(), nil, &rows)
+	return rows.Rows, err
+}
+
+// Object reads one object.
+func (c *Client) Object(ctx context.Context, key string) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, "/v1/objects/"+key, nil, nil)
+}
+
+// PutObject writes one object.
+func (c *Client) PutObject(ctx context.Context, key string, data []byte) error {
+	_, err := c.call(ctx, http.MethodPut, "/v1/objects/"+key, data, nil)
+	return err
+}
+
+// List reads the instance list.
+func (c *Client) List(ctx context.Context) ([]messenger.Listed, error) {
+	var l messenger.Listing
+	_, err := c.call(ctx, http.MethodGet, "/v1/instances", nil, &l)
+	return l.Instances, err
+}
+
+// Announce enters l in the instance list.
+func (c *Client) Announce(ctx context.Context, l messenger.Listed) error {
+	body, err := json.Marshal(l)
+	if err != nil {
+		return errors.Wrap(err, "encode instance")
+	}
+	_, err = c.call(ctx, http.MethodPut, "/v1/instances/"+url.PathEscape(l.Name), body, nil)
+	return err
+}
+
+// Withdraw takes name from the instance list.
+func (c *Client) Withdraw(ctx context.Context, name string) error {
+	_, err := c.call(ctx, http.MethodDelete, "/v1/instances/"+url.PathEscape(name), nil, nil)
+	return err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, v any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	data, status, err := c.send(req)
+	if err != nil {
+		// A silent connection may hide behind the others: dial anew.
+		c.client.CloseIdleConnections()
+		return nil, errors.Wrap(ErrDown, err.Error())
+	}
+	switch status {
+	case http.StatusOK, http.StatusConflict:
+	case http.StatusNotFound:
+		return nil, ErrMissing
+	default:
+		return nil, errors.Wrapf(ErrDown, "status %d", status)
+	}
+	if v == nil {
+		return data, nil
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return nil, errors.Wrap(ErrDown, err.Error())
+	}
+	return data, nil
+}
+
+func (c *Client) send(req *http.Request) ([]byte, int, error) {
+	c.once.Do(func() { c.client.Transport = &http.Transport{MaxIdleConnsPerHost: 16} })
+	res, err := c.client.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxBody))
+	return data, res.StatusCode, err
+}
--- /dev/null
+++ b/router/loader/loader.go
@@ -0,0 +1,204 @@
+// Package loader reads a router's settings: one TOML file in kebab case over
+// embedded defaults. Every fault names file, line and key.
+package loader
+
+import (
+	_ "embed"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"heatherhold.dev/core/decoder"
+	"heatherhold.dev/core/identifier"
+)
+
+//go:embed defaults.toml
+var defaults []byte
+
+// Settings are what one router process starts from.
+type Settings struct {
+	Instance   identifier.Instance   `toml:"instance"`
+	DataCentre identifier.DataCentre `toml:"data-centre"`
+	Site       identifier.Site       `toml:"site"`
+	LogLevel   string                `toml:"log-level"`
+	LogFormat  string                `toml:"log-format"`
+	Listen     Listen                `toml:"listen"`
+	Platform   Platform              `toml:"platform"`
+	Peer       Peer                  `toml:"peer"`
+	Caller     Caller                `toml:"caller"`
+	Operator   Operator              `toml:"operator"`
+	Trace      Trace                 `toml:"trace"`
+	Stop       Stop                  `toml:"stop"`
+}
+
+// Listen holds the addresses that the router listens on, as IP:port.
+type Listen struct {
+	Caller   string `toml:"caller"`
+	Operator string `toml:"operator"`
+	Peer     string `toml:"peer"`
+}
+
+// Platform says where the platform is and how often it is asked.
+type Platform struct {
+	URL           string              `toml:"url"`
+	Timeout       identifier.Duration `toml:"timeout"`
+	ListInterval  identifier.Duration `toml:"list-interval"`
+	TableInterval identifier.Duration `toml:"table-interval"`
+}
+
+// Peer holds what concerns the traffic between instances.
+type Peer struct {
+	// Security is "tls" or, in so many words, "plain".
+	Security string `toml:"security"`
+	// Certificate, Key and Authority are PEM texts.
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
+	// Interval is the time between two exchanges.
+	Interval identifier.Duration `toml:"interval"`
+	// Term is how long an instance decides without hearing from anyone.
+	Term identifier.Duration `toml:"term"`
+	// Silence is how long a conversation may be silent before it is closed.
+	Silence identifier.Duration `toml:"silence"`
+}
+
+// Caller bounds what callers send.
+type Caller struct {
+	BodyLimit     int64               `toml:"body-limit"`
+	HeaderLimit   int                 `toml:"header-limit"`
+	HeaderTimeout identifier.Duration `toml:"header-timeout"`
+	BodyTimeout   identifier.Duration `toml:"body-timeout"`
+	// WriteTimeout is how long a caller may take to read one piece of answer.
+	WriteTimeout identifier.Duration `toml:"write-timeout"`
+	Certificate  string              `toml:"certificate"`
+	Key          string              `toml:"key"`
+}
+
+// Operator holds what concerns operators.
+type Operator struct {
+	// KeySHA256 is the hash of a key that works before any is declared.
+	KeySHA256   string `toml:"key-sha256"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+}
+
+// Trace says which requests leave spans.
+type Trace struct {
+	// Sample is the share of requests that are traced, 0 to 1.
+	Sample float64 `toml:"sample"`
+	// URL is the collector that takes spans (OTLP over HTTP); empty means none.
+	URL string `toml:"url"`
+}
+
+// Stop bounds a planned stop.
+type Stop struct {
+	// Notice is how long the router serves on after it says that it is not ready.
+	Notice identifier.Duration `toml:"notice"`
+	// Finish is the longest wait for requests in flight.
+	Finish identifier.Duration `toml:"finish"`
+}
+
+// Load reads the file at path over the defaults; an empty path means defaults alone.
+func Load(path string) (*Settings, error) {
+	var s Settings
+	if err := decoder.Strict("defaults.toml", defaults, &s); err != nil {
+		return nil, err
+	}
+	if path == "" {
+		return &s, s.check("defaults.toml", defaults)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	if err := decoder.Strict(path, data, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.check(path, data)
+}
+
+type checker struct {
+	file  string
+	lines map[string]int
+	err   error
+}
+
+func (c *checker) want(ok bool, key, format string, args ...any) {
+	if ok || c.err != nil {
+		return
+	}
+	c.err = &decoder.Error{
+		File:   c.file,
+		Line:   max(c.lines[key], 1),
+		Key:    key,
+		Detail: fmt.Sprintf(format, args...),
+	}
+}
+
+func (c *checker) between(key string, d identifier.Duration, low, high time.Duration) {
+	c.want(d.Std() >= low && d.Std() <= high, key, "want %v to %v, got %v", low, high, d.Std())
+}
+
+func (c *checker) address(key, value string) {
+	a, err := netip.ParseAddrPort(value)
+	c.want(err == nil && a.IsValid(), key, "want IP:port, got %q", value)
+}
+
+func (c *checker) pair(section, certificate, key string) {
+	both := (certificate == "") == (key == "")
+	c.want(both, section+".key", "certificate and key go together")
+}
+
+// Bounds on times.
+const (
+	shortest = 10 * time.Millisecond
+	longest  = time.Hour
+)
+
+func (s *Settings) check(file string, data []byte) error {
+	c := checker{
+		file:  file,
+		lines: decoder.Lines(data),
+	}
+	c.want(s.Instance != "", "instance", "is missing")
+	c.want(s.DataCentre != "", "data-centre", "is missing")
+	c.want(s.Site != "", "site", "is missing")
+	c.want(s.LogFormat == "json" || s.LogFormat == "text", "log-format", "want \"json\" or \"text\", got %q", s.LogFormat)
+	c.address("listen.caller", s.Listen.Caller)
+	c.address("listen.operator", s.Listen.Operator)
+	c.address("listen.peer", s.Listen.Peer)
+	c.want(s.Platform.URL != "", "platform.url", "is missing")
+	c.between("platform.timeout", s.Platform.Timeout, shortest, time.Minute)
+	c.between("platform.list-interval", s.Platform.ListInterval, shortest, time.Minute)
+	c.between("platform.table-interval", s.Platform.TableInterval, shortest, time.Minute)
+	s.checkPeer(&c)
+	c.want(s.Caller.BodyLimit > 0, "caller.body-limit", "want 1 or more bytes")
+	c.want(s.Caller.HeaderLimit >= 1<<10, "caller.header-limit", "want 1024 or more bytes")
+	c.between("caller.header-timeout", s.Caller.HeaderTimeout, shortest, time.Minute)
+	c.between("caller.body-timeout", s.Caller.BodyTimeout, shortest, time.Hour)
+	c.between("caller.write-timeout", s.Caller.WriteTimeout, shortest, time.Hour)
+	c.pair("caller", s.Caller.Certificate, s.Caller.Key)
+	c.pair("operator", s.Operator.Certificate, s.Operator.Key)
+	c.want(s.Trace.Sample >= 0 && s.Trace.Sample <= 1, "trace.sample", "want 0 to 1, got %v", s.Trace.Sample)
+	c.between("stop.notice", s.Stop.Notice, 0, longest)
+	c.between("stop.finish", s.Stop.Finish, 0, 24*time.Hour)
+	return c.err
+}
+
+func (s *Settings) checkPeer(c *checker) {
+	p := s.Peer
+	switch p.Security {
+	case "plain":
+		c.want(p.Certificate == "" && p.Key == "" && p.Authority == "", "peer.security", "\"plain\" contradicts the certificate, key or authority that is set")
+	case "tls":
+		c.want(p.Certificate != "" && p.Key != "" && p.Authority != "", "peer.security", "\"tls\" needs certificate, key and authority")
+	default:
+		c.want(false, "peer.security", "want \"tls\" or \"plain\", got %q", p.Security)
+	}
+	c.between("peer.interval", p.Interval, shortest, time.Minute)
+	c.between("peer.term", p.Term, 4*p.Interval.Std(), 9*time.Second)
+	c.between("peer.silence", p.Silence, 2*p.Interval.Std(), time.Minute)
+}
--- /dev/null
+++ b/router/main.go
@@ -0,0 +1,53 @@
+// Router is heatherhold's daemon: one identical process on every entry
+// instance. It serves callers, operators and the other instances.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"heatherhold.dev/router/loader"
+)
+
+func main() {
+	path := ""
+	root := &cobra.Command{
+		Use:           "router",
+		Short:         "heatherhold's daemon: routes requests to model pipelines and plain services",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			s, err := loader.Load(path)
+			if err != nil {
+				return err
+			}
+			return serve(s)
+		},
+	}
+	root.Flags().StringVar(&path, "settings", "", "settings file (TOML); without one the embedded defaults are used")
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "router:", err)
+		os.Exit(1)
+	}
+}
+
+// serve runs the daemon until it is told to stop.
+func serve(s *loader.Settings) error {
+	app := fx.New(
+		fx.Supply(s),
+		components,
+		fx.Invoke(run),
+		fx.StopTimeout(s.Stop.Notice.Std()+s.Stop.Finish.Std()+stopSlack),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	app.Run()
+	return nil
+}
--- /dev/null
+++ b/router/overseer/overseer.go
@@ -0,0 +1,212 @@
+// Package overseer is the operators' interface: it shows and changes the
+// configuration, follows a change until it is accepted, drains endpoints and
+// tells the instance's status.
+package overseer
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/declarer"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/controller"
+	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/observer"
+)
+
+const (
+	bodyLimit = 16 << 20 // bytes
+	// longestWait bounds how long one request waits for acceptance.
+	longestWait = 30 * time.Second
+)
+
+// Overseer serves operators. Set the exported fields first.
+type Overseer struct {
+	Instance   identifier.Instance
+	Controller *controller.Controller
+	Granter    *granter.Granter
+	Observer   *observer.Observer
+	Bootstrap  string
+	Log        logrus.FieldLogger
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, operator string) (any, error)
+
+// Handler returns the HTTP interface.
+func (o *Overseer) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/configuration", o.serve(o.configuration)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/configuration", o.serve(o.change)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/acceptance", o.serve(o.acceptance)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/drains", o.serve(o.drain)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/status", o.serve(o.status)).Methods(http.MethodGet)
+	return r
+}
+
+func (o *Overseer) serve(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, bodyLimit)
+		operator, err := o.index().Operator(r)
+		if err != nil {
+			classifier.Write(w, err)
+			return
+		}
+		answer, err := h(w, r, operator)
+		if err != nil {
+			o.fail(w, operator, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// The operator is gone if this fails.
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+func (o *Overseer) fail(w http.ResponseWriter, operator string, err error) {
+	o.Log.WithError(err).WithField("operator", operator).Info("operator's request failed")
+	var conflict *controller.ConflictError
+	if errors.As(err, &conflict) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(messenger.Refused{
+			Error:     string(classifier.Conflict),
+			Detail:    conflict.Error(),
+			Latest:    uint64(conflict.Latest),
+			Conflicts: conflictsOf(conflict.Conflicts),
+		})
+		return
+	}
+	classifier.Write(w, err)
+}
+
+func conflictsOf(conflicts []controller.Conflict) []messenger.Conflicting {
+	out := make([]messenger.Conflicting, 0, len(conflicts))
+	for _, c := range conflicts {
+		out = append(out, messenger.Conflicting{
+			Key:    string(c.Key),
+			Theirs: c.Theirs,
+			Yours:  c.Yours,
+		})
+	}
+	return out
+}
+
+func (o *Overseer) configuration(_ http.ResponseWriter, r *http.Request, _ string) (any, error) {
+	revision, document, err := o.Controller.Configuration(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	entries := make(map[string]string, len(document))
+	for k, v := range document {
+		entries[string(k)] = string(v)
+	}
+	return messenger.Configuration{
+		Revision: uint64(revision),
+		Entries:  entries,
+	}, nil
+}
+
+func (o *Overseer) change(_ http.ResponseWriter, r *http.Request, operator string) (any, error) {
+	var m messenger.ConfigurationChange
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		return nil, classifier.New(classifier.BadRequest, "the body is not the JSON that is wanted: "+err.Error())
+	}
+	if m.ID == "" || len(m.Entries) == 0 {
+		return nil, classifier.New(classifier.BadRequest, "want an id and at least one entry")
+	}
+	change := make(declarer.Change, len(m.Entries))
+	for k, v := range m.Entries {
+		change[declarer.Key(k)] = []byte(v)
+	}
+	revision, err := o.Controller.Change(r.Context(), identifier.Revision(m.Base), m.ID, change)
+	if err != nil {
+		return nil, err
+	}
+	o.Log.WithField("operator", operator).WithField("revision", revision).WithField("sections", len(change)).Info("change committed")
+	return messenger.ConfigurationCommitted{Revision: uint64(revision)}, nil
+}
+
+func (o *Overseer) acceptance(_ http.ResponseWriter, r *http.Request, _ string) (any, error) {
+	var q messenger.AcceptanceQuery
+	if err := q.Read(r.URL.Query()); err != nil {
+		return nil, classifier.New(classifier.BadRequest, err.Error())
+	}
+	wait := min(q.Wait, longestWait)
+	accepted, waiting, err := o.Controller.Acceptance(r.Context(), identifier.Revision(q.Revision), wait)
+	if err != nil {
+		return nil, err
+	}
+	answer := messenger.Acceptance{
+		Revision: q.Revision,
+		Accepted: accepted,
+	}
+	for _, i := range waiting {
+		answer.Waiting = append(answer.Waiting, messenger.AcceptanceWaiting{
+			Instance: string(i.Instance),
+			Site:     string(i.Site),
+		})
+	}
+	return answer, nil
+}
+
+func (o *Overseer) drain(_ http.ResponseWriter, r *http.Request, operator string) (any, error) {
+	var m messenger.Drain
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		return nil, classifier.New(classifier.BadRequest, "the body is not the JSON that is wanted: "+err.Error())
+	}
+	lives, kept, err := o.Controller.Drain(r.Context(), identifier.Endpoint(m.Endpoint))
+	if err != nil {
+		return nil, err
+	}
+	o.Log.WithField("operator", operator).WithField("endpoint", m.Endpoint).Info("endpoint drained")
+	answer := messenger.Drained{Kept: kept}
+	for _, l := range lives {
+		answer.Lives = append(answer.Lives, l.String())
+	}
+	return answer, nil
+}
+
+func (o *Overseer) status(_ http.ResponseWriter, r *http.Request, _ string) (any, error) {
+	members, err := o.Controller.Members(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	loads, err := o.Granter.Loads(r.Context())
+	if err != nil {
+		return nil, err
+	}
+	v := o.Observer.View()
+	s := messenger.Status{
+		Instance:  string(o.Instance),
+		Revision:  uint64(v.Revision),
+		Confirmed: o.Observer.Confirmed(time.Now()),
+		Stopping:  o.Observer.Stopping(),
+	}
+	for _, i := range v.Live {
+		s.Live = append(s.Live, string(i))
+	}
+	for _, m := range members {
+		s.Members = append(s.Members, messenger.StatusMember{
+			Instance: m.GetInstance(),
+			Site:     m.GetSite(),
+			Leaving:  m.GetLeaving(),
+		})
+	}
+	s.Endpoints = endpointsOf(v)
+	s.Pools = poolsOf(loads)
+	return s, nil
+}
+
+func (o *Overseer) index() operatorIndex {
+	return operatorIndex{
+		declared:  o.Observer.View().Index,
+		bootstrap: o.Bootstrap,
+	}
+}
--- /dev/null
+++ b/router/planner/planner.go
@@ -0,0 +1,168 @@
+// Package planner chooses chains: which endpoints run the layers of one
+// request. It is pure; the caller holds the state and gives the time.
+package planner
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"heatherhold.dev/core/identifier"
+)
+
+// Runner is one endpoint that holds a range of layers, as the pool owner sees it.
+type Runner struct {
+	identifier.Stage
+	DataCentre identifier.DataCentre
+	// Slots is how many streams the endpoint batches at its target speed.
+	Slots int
+	// TokenTime is the time of one token with all slots in use.
+	TokenTime time.Duration
+	// PrefillTime is the time of one prompt token.
+	PrefillTime time.Duration
+	// Running counts the streams in flight.
+	Running int
+	// Cached is how many of the request's prompt tokens the endpoint has cached.
+	Cached identifier.Tokens
+}
+
+// Links tells the delay of one hop between data centres.
+type Links interface {
+	Delay(from, to identifier.DataCentre) time.Duration
+}
+
+// Need is what a chain must do.
+type Need struct {
+	Layers  identifier.Layer
+	Version identifier.Version
+	Prompt  identifier.Tokens
+	Output  identifier.Tokens
+	// Entry is where the caller's connection ends.
+	Entry identifier.DataCentre
+	// Avoid lists endpoint lives that must not be used.
+	Avoid []identifier.Life
+}
+
+// node is the cheapest way to reach the end of one runner's layers.
+type node struct {
+	cost float64
+	prev int
+}
+
+// Best returns the cheapest chain that covers layers [0, need.Layers) of the
+// version with no gap and no overlap, as indexes into runners; nil if every
+// chain lacks a runner or a free slot.
+func Best(runners []Runner, links Links, need Need) []int {
+	order := byFrom(runners)
+	nodes := make([]node, len(runners))
+	best := -1
+	for _, i := range order {
+		nodes[i] = node{
+			cost: math.Inf(1),
+			prev: -1,
+		}
+		if !usable(&runners[i], need) {
+			continue
+		}
+		enter(runners, nodes, order, i, links, need)
+		if runners[i].To == need.Layers && better(nodes, i, best) {
+			best = i
+		}
+	}
+	return chain(nodes, best)
+}
+
+func better(nodes []node, i, best int) bool {
+	if math.IsInf(nodes[i].cost, 1) {
+		return false
+	}
+	return best < 0 || nodes[i].cost < nodes[best].cost
+}
+
+// enter finds the cheapest predecessor of runner i.
+func enter(runners []Runner, nodes []node, order []int, i int, links Links, need Need) {
+	r := &runners[i]
+	own := work(r, need)
+	if r.From == 0 {
+		nodes[i].cost = own + hop(links, need.Entry, r.DataCentre, need)
+		return
+	}
+	for _, j := range order {
+		p := &runners[j]
+		if p.From >= r.From {
+			return
+		}
+		if p.To != r.From || math.IsInf(nodes[j].cost, 1) {
+			continue
+		}
+		cost := nodes[j].cost + own + hop(links, p.DataCentre, r.DataCentre, need)
+		if cost < nodes[i].cost {
+			nodes[i].cost = cost
+			nodes[i].prev = j
+		}
+	}
+}
+
+func byFrom(runners []Runner) []int {
+	order := make([]int, len(runners))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return int(runners[a].From) - int(runners[b].From)
+	})
+	return order
+}
+
+func usable(r *Runner, need Need) bool {
+	if r.Version != need.Version || r.Running >= r.Slots || r.To > need.Layers {
+		return false
+	}
+	return !slices.Contains(need.Avoid, r.Life)
+}
+
+// Shares of a token's time that a batch takes whatever its size, and in
+// proportion to it.
+const (
+	fixedPart  = 0.5
+	loadedPart = 0.5
+)
+
+// work is the time that the request spends in r: its prompt and its tokens at
+// the load that it makes, and the crowding that it brings to the others.
+func work(r *Runner, need Need) float64 {
+	load := float64(r.Running+1) / float64(r.Slots)
+	token := float64(r.TokenTime) * (fixedPart + loadedPart*load)
+	prompt := float64(max(need.Prompt-r.Cached, 0)) * float64(r.PrefillTime)
+	return prompt + token*float64(need.Output)*(1+load*load)
+}
+
+// hop is the time that the request's tokens spend on one link.
+func hop(links Links, from, to identifier.DataCentre, need Need) float64 {
+	return float64(links.Delay(from, to)) * float64(need.Output)
+}
+
+func chain(nodes []node, last int) []int {
+	if last < 0 {
+		return nil
+	}
+	var c []int
+	for i := last; i >= 0; i = nodes[i].prev {
+		c = append(c, i)
+	}
+	slices.Reverse(c)
+	return c
+}
+
+// Check reports whether stages cover layers [0, layers) of one version with no
+// gap and no overlap. Every chain is checked by it before use.
+func Check(stages []identifier.Stage, layers identifier.Layer, version identifier.Version) bool {
+	next := identifier.Layer(0)
+	for _, s := range stages {
+		if s.From != next || s.To <= s.From || s.Version != version {
+			return false
+		}
+		next = s.To
+	}
+	return next == layers && layers > 0
+}
--- /dev/null
+++ b/router/scheduler/preempt.go
@@ -0,0 +1,80 @@
+package scheduler
+
+import (
+	"time"
+
+	"heatherhold.dev/core/identifier"
+)
+
+// maxRevoked bounds how many chains may be asked back at one time.
+const maxRevoked = 8
+
+// preempt asks a chain back from the least urgent work in flight when a request
+// of c would else miss its start. Work of the same or a more urgent rank, and
+// of a class that would fall below its guarantee, is left alone.
+func (p *Pool) preempt(now time.Time, c *class) {
+	if c.key.tier != identifier.Paying || c.order != p.mostUrgent() {
+		return
+	}
+	pending := 0
+	for _, f := range p.flights {
+		if f.revoked {
+			pending++
+		}
+	}
+	for range min(c.waiting, maxRevoked) - pending {
+		f := p.victim(now, c)
+		if f == nil {
+			return
+		}
+		f.revoked = true
+		p.decided = append(p.decided, Decision{
+			Verdict: Revoked,
+			Request: f.ask.Request,
+		})
+	}
+}
+
+func (p *Pool) mostUrgent() int {
+	least := int(^uint(0) >> 1)
+	for _, r := range p.policy.Ranks {
+		least = min(least, r.Order)
+	}
+	return least
+}
+
+// victim returns the flight of the least urgent class that started last.
+func (p *Pool) victim(now time.Time, c *class) *flight {
+	var best *flight
+	for _, f := range p.flights {
+		if f.revoked || !c.before(f.class) || f.class.order == c.order || p.owes(now, f.class) {
+			continue
+		}
+		if best == nil || better(f, best) {
+			best = f
+		}
+	}
+	return best
+}
+
+func better(f, g *flight) bool {
+	if f.class != g.class {
+		return g.class.before(f.class)
+	}
+	if !f.since.Equal(g.since) {
+		return f.since.After(g.since)
+	}
+	return f.ask.Request < g.ask.Request
+}
+
+// owes reports whether c is at or below its guaranteed share.
+func (p *Pool) owes(now time.Time, c *class) bool {
+	if c.guarantee <= 0 {
+		return false
+	}
+	total := 0.0
+	for _, other := range p.order {
+		total += other.decayed(now)
+	}
+	return c.decayed(now) <= total*c.guarantee
+}
--- /dev/null
+++ b/router/scheduler/scheduler.go
@@ -0,0 +1,394 @@
+// Package scheduler decides, for one pool, which request runs next, on which
+// chain, and which is refused. It is pure: the caller gives the time and
+// carries the decisions out.
+//
+// Order of work. A class is one tier of one rank. A class that has had less
+// than its guaranteed share of the recent tokens goes first; then paying work
+// before free-tier work, and urgent ranks before others. Inside a class the
+// customer that has had the least service for its weight goes first, counted in
+// tokens: predicted when the request starts and corrected when it ends.
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/declarer"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/planner"
+)
+
+// Ask is a request that wants a chain.
+type Ask struct {
+	Request  identifier.Request
+	Customer identifier.Customer
+	Rank     identifier.Rank
+	Tier     identifier.Tier
+	Weight   float64
+	Entry    identifier.DataCentre
+	Prompt   identifier.Tokens
+	// Output is the most tokens that the answer may have.
+	Output identifier.Tokens
+	// Version is the version that the request keeps to; empty means the declared one.
+	Version identifier.Version
+	// Prefix identifies the start of the prompt; 0 means none worth keeping.
+	Prefix uint64
+	Avoid  []identifier.Life
+	// Resumed is set if the caller holds a part of the answer already: such a
+	// request is never refused for load.
+	Resumed bool
+}
+
+// Held is a ticket that is in use, as an entry reports it to a new owner.
+type Held struct {
+	Ask
+	Chain []identifier.Stage
+}
+
+// Outcome is how a ticket was used.
+type Outcome struct {
+	Tokens identifier.Tokens
+	// Failed names the life that broke the stream; zero if none did.
+	Failed identifier.Life
+	// Gap is the mean time between tokens; zero if unknown.
+	Gap time.Duration
+}
+
+// Verdict is a decision's kind.
+type Verdict int
+
+// The verdicts.
+const (
+	// Granted gives the request a chain.
+	Granted Verdict = iota
+	// Refused turns the request away; nothing ran.
+	Refused
+	// Revoked asks for a running request's chain back, for more urgent work.
+	Revoked
+)
+
+// Decision is what is to be done with one request.
+type Decision struct {
+	Verdict    Verdict
+	Request    identifier.Request
+	Chain      []identifier.Stage
+	Kind       classifier.Kind
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Policy is what is declared for a pool.
+type Policy struct {
+	Layers  identifier.Layer
+	Version identifier.Version
+	Ranks   map[identifier.Rank]declarer.Rank
+	Links   planner.Links
+}
+
+// Pool schedules the work of one service. Its zero value waits for a policy.
+type Pool struct {
+	policy Policy
+
+	runners   []planner.Runner
+	foreign   map[identifier.Life]int
+	own       map[identifier.Life]int
+	failed    map[identifier.Life]time.Time
+	classes   map[classKey]*class
+	order     []*class
+	flights   map[identifier.Request]*flight
+	waiting   map[identifier.Request]*entry
+	lengths   map[lengthKey]float64
+	prefixes  *prefixIndex
+	decided   []Decision
+	slowdowns map[linkKey]float64
+}
+
+type lengthKey struct {
+	customer identifier.Customer
+	rank     identifier.Rank
+}
+
+// entry is a request that waits.
+type entry struct {
+	ask      Ask
+	cost     float64
+	since    time.Time
+	deadline time.Time
+}
+
+// flight is a request that holds a chain.
+type flight struct {
+	ask     Ask
+	class   *class
+	chain   []identifier.Stage
+	cost    float64
+	since   time.Time
+	revoked bool
+}
+
+// Bounds and weights of the policy.
+const (
+	// promptWeight is the cost of a prompt token in output tokens.
+	promptWeight = 0.05
+	// defaultLength predicts an answer's tokens before any was seen.
+	defaultLength = 64.0
+	// lengthGain is how fast predictions follow.
+	lengthGain = 0.2
+	// recentWindow is how long a token counts towards a class's recent share.
+	recentWindow = 5 * time.Second
+	// failedPause is how long an endpoint that broke a stream gets no work.
+	failedPause = 2 * time.Second
+)
+
+// cost predicts what a request takes, in output tokens.
+func (p *Pool) cost(a Ask) float64 {
+	return float64(a.Prompt)*promptWeight + p.predict(a)
+}
+
+func (p *Pool) predict(a Ask) float64 {
+	n, ok := p.lengths[lengthKey{
+		customer: a.Customer,
+		rank:     a.Rank,
+	}]
+	if !ok {
+		n = defaultLength
+	}
+	return math.Min(n, float64(a.Output))
+}
+
+func (p *Pool) learn(a Ask, tokens identifier.Tokens) {
+	key := lengthKey{
+		customer: a.Customer,
+		rank:     a.Rank,
+	}
+	old, ok := p.lengths[key]
+	if !ok {
+		old = defaultLength
+	}
+	p.lengths[key] = old + lengthGain*(float64(tokens)-old)
+}
+
+// prepare makes the zero value usable.
+func (p *Pool) prepare() {
+	if p.classes != nil {
+		return
+	}
+	p.foreign = make(map[identifier.Life]int)
+	p.own = make(map[identifier.Life]int)
+	p.failed = make(map[identifier.Life]time.Time)
+	p.classes = make(map[classKey]*class)
+	p.flights = make(map[identifier.Request]*flight)
+	p.waiting = make(map[identifier.Request]*entry)
+	p.lengths = make(map[lengthKey]float64)
+	p.slowdowns = make(map[linkKey]float64)
+	p.prefixes = newPrefixIndex()
+}
+
+// Configure puts a policy in force; queues and accounts stay.
+func (p *Pool) Configure(policy Policy) {
+	p.prepare()
+	p.policy = policy
+	for _, c := range p.order {
+		c.configure(policy.Ranks[c.key.rank])
+	}
+	p.sortClasses()
+}
+
+// Ask queues a request or refuses it at once.
+func (p *Pool) Ask(now time.Time, a Ask) {
+	p.prepare()
+	if p.known(a.Request) {
+		return
+	}
+	rank, ok := p.policy.Ranks[a.Rank]
+	if !ok {
+		p.refuse(a.Request, classifier.BadRequest, "there is no rank "+string(a.Rank), 0)
+		return
+	}
+	c := p.classOf(a)
+	e := &entry{
+		ask:      a,
+		cost:     p.cost(a),
+		since:    now,
+		deadline: now.Add(rank.MaxWait.Std()),
+	}
+	if !a.Resumed && !p.admit(now, c, e, rank) {
+		return
+	}
+	p.waiting[a.Request] = e
+	c.push(e)
+}
+
+func (p *Pool) known(r identifier.Request) bool {
+	_, waits := p.waiting[r]
+	_, flies := p.flights[r]
+	return waits || flies
+}
+
+// admit refuses what is over its customer's queue limit or can't start in time.
+func (p *Pool) admit(now time.Time, c *class, e *entry, rank declarer.Rank) bool {
+	if c.length(e.ask.Customer) >= rank.QueueLimit {
+		p.refuse(e.ask.Request, classifier.Overloaded, "the customer's queue for this rank is full", rank.MaxWait.Std())
+		return false
+	}
+	wait := p.estimate(now, c, e)
+	if wait > rank.MaxWait.Std() {
+		p.refuse(e.ask.Request, classifier.Overloaded, "the request could not start in time", wait-rank.MaxWait.Std())
+		return false
+	}
+	return true
+}
+
+func (p *Pool) refuse(r identifier.Request, kind classifier.Kind, detail string, after time.Duration) {
+	p.decided = append(p.decided, Decision{
+		Verdict:    Refused,
+		Request:    r,
+		Kind:       kind,
+		Detail:     detail,
+		RetryAfter: after,
+	})
+}
+
+// Cancel takes a request out, waiting or running.
+func (p *Pool) Cancel(now time.Time, r identifier.Request) {
+	p.prepare()
+	if e, ok := p.waiting[r]; ok {
+		delete(p.waiting, r)
+		p.classOf(e.ask).remove(e)
+		return
+	}
+	p.Release(now, r, Outcome{})
+}
+
+// Release takes a ticket back and corrects the customer's account.
+func (p *Pool) Release(now time.Time, r identifier.Request, o Outcome) {
+	p.prepare()
+	f, ok := p.flights[r]
+	if !ok {
+		return
+	}
+	delete(p.flights, r)
+	for _, s := range f.chain {
+		p.own[s.Life]--
+	}
+	if o.Failed.Endpoint != "" {
+		p.failed[o.Failed] = now.Add(failedPause)
+	}
+	used := float64(f.ask.Prompt)*promptWeight + float64(o.Tokens)
+	f.class.charge(f.ask.Customer, f.ask.Weight, used-f.cost)
+	f.class.add(now, used-f.cost)
+	if o.Tokens > 0 && o.Failed.Endpoint == "" && !f.revoked {
+		p.learn(f.ask, o.Tokens)
+	}
+	p.observe(f, o)
+}
+
+// Adopt takes over a ticket that another owner granted.
+func (p *Pool) Adopt(now time.Time, h Held) {
+	p.prepare()
+	if p.known(h.Request) {
+		return
+	}
+	c := p.classOf(h.Ask)
+	p.start(now, c, &entry{
+		ask:  h.Ask,
+		cost: p.cost(h.Ask),
+	}, h.Chain)
+}
+
+// Decide grants what can start now and returns all decisions since the last call.
+func (p *Pool) Decide(now time.Time) []Decision {
+	p.prepare()
+	p.expire(now)
+	p.effective(now)
+	blocked := make(map[*class]bool)
+	for {
+		c := p.next(now, blocked)
+		if c == nil {
+			break
+		}
+		if !p.grantFrom(now, c) {
+			blocked[c] = true
+			p.preempt(now, c)
+			if p.full() {
+				break
+			}
+		}
+	}
+	out := p.decided
+	p.decided = nil
+	return out
+}
+
+// grantFrom starts the first request of c, in fair order, that finds a chain.
+func (p *Pool) grantFrom(now time.Time, c *class) bool {
+	for _, e := range c.heads() {
+		chain := p.plan(e.ask)
+		if chain == nil {
+			continue
+		}
+		c.remove(e)
+		delete(p.waiting, e.ask.Request)
+		p.start(now, c, e, chain)
+		p.decided = append(p.decided, Decision{
+			Verdict: Granted,
+			Request: e.ask.Request,
+			Chain:   chain,
+		})
+		return true
+	}
+	return false
+}
+
+func (p *Pool) start(now time.Time, c *class, e *entry, chain []identifier.Stage) {
+	c.charge(e.ask.Customer, e.ask.Weight, e.cost)
+	c.add(now, e.cost)
+	p.flights[e.ask.Request] = &flight{
+		ask:   e.ask,
+		class: c,
+		chain: chain,
+		cost:  e.cost,
+		since: now,
+	}
+	for _, s := range chain {
+		p.own[s.Life]++
+		p.bump(s.Life)
+		p.prefixes.note(e.ask.Prefix, s.Life, e.ask.Prompt)
+	}
+}
+
+// expire refuses what waited past its deadline. Resumed requests wait on.
+func (p *Pool) expire(now time.Time) {
+	for _, c := range p.order {
+		for _, e := range c.expired(now) {
+			delete(p.waiting, e.ask.Request)
+			kind, detail := classifier.Overloaded, "the request waited past its limit"
+			if !p.covered() {
+				kind, detail = classifier.NoChain, "no chain of endpoints covers every layer"
+			}
+			p.refuse(e.ask.Request, kind, detail, time.Second)
+		}
+	}
+}
+
+// Waiting returns how many requests wait.
+func (p *Pool) Waiting() int {
+	return len(p.waiting)
+}
+
+// Flights returns how many requests hold a chain.
+func (p *Pool) Flights() int {
+	return len(p.flights)
+}
+
+// Uses reports whether a request in flight runs on a life.
+func (p *Pool) Uses(l identifier.Life) bool {
+	return p.own[l] > 0
+}
+
+// Holds reports whether a request holds a chain.
+func (p *Pool) Holds(r identifier.Request) bool {
+	_, ok := p.flights[r]
+	return ok
+}
--- /dev/null
+++ b/router/server/model.go
@@ -0,0 +1,265 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/declarer"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/streamer"
+)
+
+// completionRequest is what /v1/completions takes.
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens *int64 `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	N         *int   `json:"n"`
+}
+
+// chatRequest is what /v1/chat/completions takes.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	MaxTokens           *int64        `json:"max_tokens"`
+	MaxCompletionTokens *int64        `json:"max_completion_tokens"`
+	Stream              bool          `json:"stream"`
+	N                   *int          `json:"n"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// generation is a model request of either format.
+type generation struct {
+	model     string
+	prompt    string
+	prefix    string
+	maxTokens *int64
+	stream    bool
+	chat      bool
+	n         *int
+}
+
+func (s *Server) completions(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
+	var c completionRequest
+	if err := decode(r, &c); err != nil {
+		return err
+	}
+	return s.generate(ctx, w, r, x, generation{
+		model:     c.Model,
+		prompt:    c.Prompt,
+		prefix:    firstLine(c.Prompt),
+		maxTokens: c.MaxTokens,
+		stream:    c.Stream,
+		n:         c.N,
+	})
+}
+
+func (s *Server) chat(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
+	var c chatRequest
+	if err := decode(r, &c); err != nil {
+		return err
+	}
+	if len(c.Messages) == 0 {
+		return classifier.New(classifier.BadRequest, "messages: want at least one")
+	}
+	g := generation{
+		model:     c.Model,
+		prompt:    promptOf(c.Messages),
+		prefix:    promptOf(c.Messages[:1]),
+		maxTokens: c.MaxTokens,
+		stream:    c.Stream,
+		chat:      true,
+		n:         c.N,
+	}
+	if c.MaxCompletionTokens != nil {
+		g.maxTokens = c.MaxCompletionTokens
+	}
+	return s.generate(ctx, w, r, x, g)
+}
+
+// promptOf writes a conversation as one prompt.
+func promptOf(messages []chatMessage) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(m.Content)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+func firstLine(prompt string) string {
+	line, _, _ := strings.Cut(prompt, "\n")
+	return line
+}
+
+// decode reads a JSON body; keys that are not known are let pass, as clients of
+// the format send many.
+func decode(r *http.Request, v any) error {
+	data, err := body(r)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return classifier.New(classifier.BadRequest, "the body is not the JSON that is wanted: "+err.Error())
+	}
+	return nil
+}
+
+func body(r *http.Request) ([]byte, error) {
+	data, err := io.ReadAll(r.Body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, classifier.New(classifier.TooLarge, "the body is larger than the limit")
+	}
+	if err != nil {
+		return nil, classifier.Wrap(classifier.BadRequest, err, "the body did not arrive whole in time")
+	}
+	return data, nil
+}
+
+// bytesPerToken estimates a prompt's tokens from its length.
+const bytesPerToken = 4
+
+// generate runs a model request and answers it, streamed or whole.
+func (s *Server) generate(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange, g generation) error {
+	work, err := s.work(r, x, g)
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	out := newWriter(s, w, x, g)
+	result, err := s.Streamer.Run(ctx, work, func(token string) error {
+		if !out.started {
+			s.Reporter.FirstToken(work.Ask.GetRank(), time.Since(begun))
+		}
+		return out.token(token)
+	})
+	s.Reporter.Streamed(work.Ask.GetRank(), result)
+	if err != nil {
+		return out.fail(err)
+	}
+	return out.end(result)
+}
+
+// work checks a model request and says what is to be done.
+func (s *Server) work(r *http.Request, x *exchange, g generation) (streamer.Work, error) {
+	name := identifier.Service(g.model)
+	if err := may(x.view, x.caller, name); err != nil {
+		return streamer.Work{}, err
+	}
+	service := x.view.Declaration.Service[name]
+	if service.Kind != declarer.Model {
+		return streamer.Work{}, classifier.New(classifier.BadRequest, "model: "+g.model+" is a plain service")
+	}
+	limit, err := tokenLimit(g, service)
+	if err != nil {
+		return streamer.Work{}, err
+	}
+	rankName, err := rankOf(r, x)
+	if err != nil {
+		return streamer.Work{}, err
+	}
+	rank := x.view.Declaration.Rank[rankName]
+	return streamer.Work{
+		Request:   x.id,
+		Service:   name,
+		Prompt:    g.prompt,
+		MaxTokens: limit,
+		Priority:  rank.Order,
+		Layers:    service.Layers,
+		Version:   service.Version,
+		Allowed:   s.allowed(r, name),
+		Progress:  service.Progress.Std(),
+		Target:    rank.BetweenTokens.Std(),
+		Ask: &messenger.Ask{
+			Customer:     string(x.caller.Customer),
+			Rank:         string(rankName),
+			Free:         x.caller.Tier == identifier.Free,
+			Weight:       x.caller.Weight,
+			PromptTokens: int64(len(g.prompt)/bytesPerToken) + 1,
+			OutputTokens: int64(limit),
+			Prefix:       xxhash.Sum64String(g.prefix),
+			DataCentre:   string(s.DataCentre),
+		},
+	}, nil
+}
+
+func tokenLimit(g generation, service declarer.Service) (identifier.Tokens, error) {
+	if g.prompt == "" {
+		return 0, classifier.New(classifier.BadRequest, "the prompt is empty")
+	}
+	if g.n != nil && *g.n != 1 {
+		return 0, classifier.New(classifier.BadRequest, "n: only 1 answer to a request is served")
+	}
+	if g.maxTokens == nil {
+		return service.MaxTokens, nil
+	}
+	if *g.maxTokens < 1 || identifier.Tokens(*g.maxTokens) > service.MaxTokens {
+		return 0, classifier.New(classifier.BadRequest, "max_tokens is out of the service's bounds")
+	}
+	return identifier.Tokens(*g.maxTokens), nil
+}
+
+// rankHeader asks for a less urgent rank than the caller's own.
+const rankHeader = "Heatherhold-Rank"
+
+// rankOf returns the rank of a request: the caller's, or a less urgent one.
+func rankOf(r *http.Request, x *exchange) (identifier.Rank, error) {
+	asked := identifier.Rank(r.Header.Get(rankHeader))
+	if asked == "" || asked == x.caller.Rank {
+		return x.caller.Rank, nil
+	}
+	rank, ok := x.view.Declaration.Rank[asked]
+	if !ok {
+		return "", classifier.New(classifier.BadRequest, "there is no rank "+string(asked))
+	}
+	if rank.Order < x.view.Declaration.Rank[x.caller.Rank].Order {
+		return "", classifier.New(classifier.Forbidden, "the rank is more urgent than the caller's")
+	}
+	return asked, nil
+}
+
+// model is one entry of /v1/models.
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(_ context.Context, w http.ResponseWriter, _ *http.Request, x *exchange) error {
+	list := []model{}
+	for name, service := range x.view.Declaration.Service {
+		if service.Kind == declarer.Model && x.caller.May(name) {
+			list = append(list, model{
+				ID:      string(name),
+				Object:  "model",
+				OwnedBy: "heatherhold",
+			})
+		}
+	}
+	sortModels(list)
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{
+		Object: "list",
+		Data:   list,
+	})
+}
--- /dev/null
+++ b/router/spreader/members.go
@@ -0,0 +1,147 @@
+package spreader
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+)
+
+// goneTerms is how long a member that the platform no longer lists must be
+// silent, in terms, before it is dropped.
+const goneTerms = 3
+
+// hear notes that a member itself spoke.
+func (s *State) hear(now time.Time, m *messenger.Member) {
+	s.meet(now, m, true)
+}
+
+// learn takes in what a peer says of others.
+func (s *State) learn(now time.Time, members []*messenger.Member, marks []*messenger.Mark) {
+	for _, m := range members {
+		s.meet(now, m, false)
+	}
+	for _, m := range marks {
+		s.Mark(now, lifeOf(m))
+	}
+}
+
+func (s *State) meet(now time.Time, m *messenger.Member, spoke bool) {
+	name := m.GetInstance()
+	if name == "" || name == s.Self.GetInstance() {
+		return
+	}
+	old, ok := s.members[name]
+	switch {
+	case !ok:
+		if m.GetGone() && !spoke {
+			return
+		}
+		s.members[name] = &member{
+			wire:  m,
+			heard: now,
+		}
+		s.edits++
+	case m.GetIncarnation() > old.wire.GetIncarnation():
+		old.wire = m
+		old.heard = now
+		old.delisted = time.Time{}
+		s.edits++
+	case m.GetIncarnation() < old.wire.GetIncarnation():
+	default:
+		s.note(old, m)
+		if spoke {
+			old.heard = now
+		}
+	}
+}
+
+// note takes in what is new about a known incarnation.
+func (s *State) note(old *member, m *messenger.Member) {
+	next := merge(old.wire, m)
+	if next.GetLeaving() != old.wire.GetLeaving() || next.GetGone() != old.wire.GetGone() || next.GetAddress() != old.wire.GetAddress() {
+		old.wire = next
+		s.edits++
+	}
+}
+
+// merge keeps what is final for an incarnation: leaving and gone.
+func merge(old, m *messenger.Member) *messenger.Member {
+	return &messenger.Member{
+		Instance:    m.GetInstance(),
+		Address:     m.GetAddress(),
+		Site:        m.GetSite(),
+		Incarnation: m.GetIncarnation(),
+		Leaving:     old.GetLeaving() || m.GetLeaving(),
+		Gone:        old.GetGone() || m.GetGone(),
+	}
+}
+
+// Listed takes in the platform's list of router instances, read at now. A
+// member that it lacks, and that has been silent for long, is dropped.
+func (s *State) Listed(now time.Time, listed []*messenger.Member) {
+	s.prepare()
+	present := make(map[string]bool)
+	for _, m := range listed {
+		present[m.GetInstance()] = true
+		s.meet(now, m, false)
+	}
+	for name, m := range s.members {
+		if present[name] {
+			m.delisted = time.Time{}
+			continue
+		}
+		if m.delisted.IsZero() {
+			m.delisted = now
+		}
+		silent := now.Sub(m.heard) > goneTerms*s.Term && now.Sub(m.delisted) > goneTerms*s.Term
+		if silent {
+			delete(s.members, name)
+			s.edits++
+		}
+	}
+}
+
+// Members returns the other instances that are not gone, by name.
+func (s *State) Members() []*messenger.Member {
+	out := make([]*messenger.Member, 0, len(s.members))
+	for _, m := range s.members {
+		if !m.wire.GetGone() {
+			out = append(out, m.wire)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].GetInstance() < out[j].GetInstance() })
+	return out
+}
+
+// Live returns the instances, this one included, that can own pools: they were
+// heard of within the term and are not leaving.
+func (s *State) Live(now time.Time) []identifier.Instance {
+	var live []identifier.Instance
+	if !s.Self.GetLeaving() {
+		live = append(live, identifier.Instance(s.Self.GetInstance()))
+	}
+	for name, m := range s.members {
+		if now.Sub(m.heard) <= s.Term && !m.wire.GetLeaving() && !m.wire.GetGone() {
+			live = append(live, identifier.Instance(name))
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i] < live[j] })
+	return live
+}
+
+// tellMembers returns what the instance tells of others: all when they are
+// few, else a random part.
+func (s *State) tellMembers() []*messenger.Member {
+	members := make([]*messenger.Member, 0, len(s.members))
+	for _, m := range s.members {
+		members = append(members, m.wire)
+	}
+	if len(members) <= memberLimit {
+		return members
+	}
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:memberLimit]
+}
--- /dev/null
+++ b/standin/tabler/tabler.go
@@ -0,0 +1,214 @@
+// Package tabler stands in for the platform: a transactional table, an object
+// store and a lagging list of instances. It keeps all in memory.
+package tabler
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"heatherhold.dev/core/messenger"
+)
+
+const maxBody = 16 << 20 // bytes
+
+// Tabler serves the platform's three services.
+type Tabler struct {
+	// Lag is how far the instance list is behind.
+	Lag time.Duration
+
+	mu      sync.Mutex
+	rows    map[string]messenger.Row
+	objects map[string][]byte
+	list    map[string]messenger.Listed
+	past    []snapshot
+	reads   int64
+	writes  int64
+}
+
+type snapshot struct {
+	at   time.Time
+	list messenger.Listing
+}
+
+// Handler returns the HTTP interface.
+func (t *Tabler) Handler() http.Handler {
+	t.rows = make(map[string]messenger.Row)
+	t.objects = make(map[string][]byte)
+	t.list = make(map[string]messenger.Listed)
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/table/commit", t.commit).Methods(http.MethodPost)
+	r.HandleFunc("/v1/table/rows", t.row).Methods(http.MethodGet)
+	r.HandleFunc("/v1/table/scan", t.scan).Methods(http.MethodGet)
+	r.HandleFunc("/v1/objects/{key:.*}", t.putObject).Methods(http.MethodPut)
+	r.HandleFunc("/v1/objects/{key:.*}", t.object).Methods(http.MethodGet)
+	r.HandleFunc("/v1/instances", t.instances).Methods(http.MethodGet)
+	r.HandleFunc("/v1/instances/{name}", t.announce).Methods(http.MethodPut)
+	r.HandleFunc("/v1/instances/{name}", t.remove).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/counts", t.counts).Methods(http.MethodGet)
+	return r
+}
+
+func (t *Tabler) commit(w http.ResponseWriter, r *http.Request) {
+	var c messenger.Commit
+	if !read(w, r, &c) {
+		return
+	}
+	conflicts := t.Commit(c)
+	if len(conflicts) > 0 {
+		w.WriteHeader(http.StatusConflict)
+	}
+	answer(w, messenger.Committed{Conflicts: conflicts})
+}
+
+// Commit makes one transaction and returns the rows that stood against it.
+func (t *Tabler) Commit(c messenger.Commit) []messenger.Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writes++
+	var conflicts []messenger.Row
+	for _, want := range c.If {
+		got := t.rows[want.Key]
+		if got.Version != want.Version {
+			got.Key = want.Key
+			conflicts = append(conflicts, got)
+		}
+	}
+	if len(conflicts) > 0 {
+		return conflicts
+	}
+	for _, row := range c.Put {
+		row.Version = t.rows[row.Key].Version + 1
+		t.rows[row.Key] = row
+	}
+	return nil
+}
+
+func (t *Tabler) row(w http.ResponseWriter, r *http.Request) {
+	key := r.URL.Query().Get("key")
+	t.mu.Lock()
+	t.reads++
+	row := t.rows[key]
+	t.mu.Unlock()
+	row.Key = key
+	answer(w, row)
+}
+
+func (t *Tabler) scan(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	t.mu.Lock()
+	t.reads++
+	var rows []messenger.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
+			rows = append(rows, row)
+		}
+	}
+	t.mu.Unlock()
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	answer(w, messenger.Rows{Rows: rows})
+}
+
+func (t *Tabler) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	t.objects[mux.Vars(r)["key"]] = data
+	t.mu.Unlock()
+}
+
+func (t *Tabler) object(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	data, ok := t.objects[mux.Vars(r)["key"]]
+	t.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (t *Tabler) announce(w http.ResponseWriter, r *http.Request) {
+	var l messenger.Listed
+	if !read(w, r, &l) {
+		return
+	}
+	l.Name = mux.Vars(r)["name"]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.list[l.Name] = l
+	t.remember()
+}
+
+func (t *Tabler) remove(_ http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.list, mux.Vars(r)["name"])
+	t.remember()
+}
+
+// remember keeps the list as it is now, and of the older ones what Lag needs.
+func (t *Tabler) remember() {
+	now := time.Now()
+	var l messenger.Listing
+	for _, i := range t.list {
+		l.Instances = append(l.Instances, i)
+	}
+	sort.Slice(l.Instances, func(i, j int) bool { return l.Instances[i].Name < l.Instances[j].Name })
+	t.past = append(t.past, snapshot{
+		at:   now,
+		list: l,
+	})
+	for len(t.past) > 1 && now.Sub(t.past[1].at) >= t.Lag {
+		t.past = t.past[1:]
+	}
+}
+
+func (t *Tabler) instances(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	var l messenger.Listing
+	for _, s := range t.past {
+		if time.Since(s.at) >= t.Lag {
+			l = s.list
+		}
+	}
+	t.mu.Unlock()
+	answer(w, l)
+}
+
+// Counts tells how many reads and writes the table has served.
+type Counts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+func (t *Tabler) counts(w http.ResponseWriter, _ *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer(w, Counts{
+		Reads:  t.reads,
+		Writes: t.writes,
+	})
+}
+
+func read(w http.ResponseWriter, r *http.Request, v any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func answer(w http.ResponseWriter, v any) {
+	// The asker is gone if this fails.
+	_ = json.NewEncoder(w).Encode(v)
+}
