Prove streams, orders and configuration under kills, freezes and outages

Cause: the whole path had no tests. The first of them hung: a request whose every chain had broken once avoided them all and waited for ever, as a resumed request had no deadline.

Ruled out: the engine and the ticket conversation, which answered.

Change: avoided endpoints are taken back after two seconds, resumed requests wait at most 30 s, and an endpoint that breaks streams in a row rests longer each time. Tests start separate processes and kill, freeze and starve them; the streamer's own tests break a stream at every token index.

Seen: TestFaultyStreams hung without the change (stopped after 10 minutes) and passes with it.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -152,9 +152,23 @@
 	}
 }
 
+// NewTicket returns a ticket that belongs to no owner; releasing it does nothing.
+func NewTicket(ask *messenger.Ask, chain []identifier.Stage) *Ticket {
+	revoked, revoke := context.WithCancel(context.Background())
+	return &Ticket{
+		Chain:   chain,
+		Revoked: revoked,
+		ask:     ask,
+		revoke:  revoke,
+	}
+}
+
 // Release gives the ticket back.
 func (t *Ticket) Release(o Outcome) {
 	t.revoke()
+	if t.pool == nil {
+		return
+	}
 	t.pool.mu.Lock()
 	delete(t.pool.held, identifier.Request(t.ask.GetRequest()))
 	t.pool.mu.Unlock()
@@ -193,14 +207,8 @@
 		return
 	}
 	delete(p.waiting, request)
-	revoked, revoke := context.WithCancel(context.Background())
-	t := &Ticket{
-		Chain:   granter.ChainOf(g.GetChain()),
-		Revoked: revoked,
-		pool:    p,
-		ask:     w.ask,
-		revoke:  revoke,
-	}
+	t := NewTicket(w.ask, granter.ChainOf(g.GetChain()))
+	t.pool = p
 	p.held[request] = t
 	w.answer <- answer{ticket: t}
 }
--- /dev/null
+++ b/router/configuration_test.go
@@ -0,0 +1,237 @@
+package main_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"heatherhold.dev/router/authenticator"
+	"heatherhold.dev/standin/faulter"
+)
+
+// Exit codes of the operators' command line.
+const (
+	exitInvalid  = 2
+	exitConflict = 3
+	exitPending  = 4
+)
+
+func exitCode(err error) int {
+	var e *exec.ExitError
+	if errors.As(err, &e) {
+		return e.ExitCode()
+	}
+	if err != nil {
+		return -1
+	}
+	return 0
+}
+
+// revoked declares another key in place of the hospice's.
+func revoked() string {
+	return declarations(authenticator.Hash(hospiceKey), authenticator.Hash("another-key"))
+}
+
+// TestRacingOperators applies two changes on one base; one wins and the other
+// sees both sides.
+func TestRacingOperators(t *testing.T) {
+	s := newSystem(t, 2)
+	var codes [2]int
+	var outputs [2]string
+	var group errgroup.Group
+	for i, name := range []string{"r1", "r2"} {
+		path := s.file(name+"-race.toml", declarations("queue-limit = 1000", fmt.Sprintf("queue-limit = 10%d", i)))
+		group.Go(func() error {
+			out, err := s.operate(name, operatorKey, "apply", "--base", "1", path)
+			codes[i], outputs[i] = exitCode(err), out
+			return nil
+		})
+	}
+	_ = group.Wait()
+	if codes[0]+codes[1] != exitConflict || codes[0]*codes[1] != 0 {
+		t.Fatalf("got exit codes %v, want one 0 and one %d; output %q", codes, exitConflict, outputs)
+	}
+	for i, out := range outputs {
+		if codes[i] == exitConflict && (!strings.Contains(out, "theirs: queue-limit = 10") || !strings.Contains(out, "yours:  queue-limit = 10")) {
+			t.Errorf("got %q, want both sides of the conflict", out)
+		}
+	}
+}
+
+// TestPausedInstance freezes one router during a change. The change is accepted
+// once the frozen one can no longer decide; when it wakes up, it must not go
+// by the old revision.
+func TestPausedInstance(t *testing.T) {
+	s := newSystem(t, 3)
+	r3 := s.routers["r3"]
+	r3.signal(t, syscall.SIGSTOP)
+	out, err := s.operate("r1", operatorKey, "apply", "--base", "1", "--wait", "30s", s.file("revoked.toml", revoked()))
+	if err != nil || !strings.Contains(out, "accepted") {
+		t.Fatalf("got %q, %v; want accepted", out, err)
+	}
+	r3.signal(t, syscall.SIGCONT)
+	sawUnauthenticated := false
+	eventually(t, "r3 decides by the new revision", func() error {
+		d := streamDraft(t.Context(), r3.caller, hospiceKey, "plate", 4)
+		if d.status == http.StatusOK {
+			t.Fatal("r3 served a key that was revoked by an accepted revision")
+		}
+		sawUnauthenticated = d.status == http.StatusUnauthorized
+		if !sawUnauthenticated {
+			return fmt.Errorf("got status %d, want 401", d.status)
+		}
+		return nil
+	})
+}
+
+// TestTwoPausedInstances freezes two routers: they might be confirming each
+// other, so the change is not called accepted before they are back.
+func TestTwoPausedInstances(t *testing.T) {
+	s := newSystem(t, 3)
+	s.routers["r2"].signal(t, syscall.SIGSTOP)
+	s.routers["r3"].signal(t, syscall.SIGSTOP)
+	out, err := s.operate("r1", operatorKey, "apply", "--base", "1", "--wait", "2s", s.file("revoked.toml", revoked()))
+	if exitCode(err) != exitPending || !strings.Contains(out, "r2 (site-r2)") || !strings.Contains(out, "r3 (site-r3)") {
+		t.Errorf("got %q, %v; want pending and both sites", out, err)
+	}
+	s.routers["r2"].signal(t, syscall.SIGCONT)
+	s.routers["r3"].signal(t, syscall.SIGCONT)
+	eventually(t, "in force at r2 and r3", func() error {
+		for _, name := range []string{"r2", "r3"} {
+			if d := streamDraft(t.Context(), s.routers[name].caller, hospiceKey, "plate", 4); d.status != http.StatusUnauthorized {
+				return fmt.Errorf("got status %d at %s, want 401", d.status, name)
+			}
+		}
+		return nil
+	})
+}
+
+// TestTableOutage has the table down: drafts go on, a new router starts from
+// its peers, and a change is refused clearly.
+func TestTableOutage(t *testing.T) {
+	s := newSystem(t, 2)
+	s.platformFault(faulter.Fault{
+		Path:   "/v1/table",
+		Outage: true,
+	})
+	r3 := s.startRouter("r3")
+	eventually(t, "r3 ready", func() error { return readyz(r3) })
+	for name, r := range s.routers {
+		eventually(t, "draft at "+name, func() error {
+			d := streamDraft(t.Context(), r.caller, councilKey, "plate", 8)
+			if !d.whole {
+				return fmt.Errorf("got %+v, want a whole answer", d)
+			}
+			return nil
+		})
+	}
+	out, err := s.operate("r1", operatorKey, "apply", "--base", "1", s.file("revoked.toml", revoked()))
+	if exitCode(err) == 0 || !strings.Contains(out, "platform-down") {
+		t.Errorf("got %q, %v; want platform-down", out, err)
+	}
+	s.platformFault(faulter.Fault{Path: "/v1/table"})
+	s.apply(1, revoked())
+}
+
+// TestLostCommitAnswer loses the table's answer after the commit took effect.
+func TestLostCommitAnswer(t *testing.T) {
+	s := newSystem(t, 2)
+	s.platformFault(faulter.Fault{
+		Path:        "/v1/table/commit",
+		LoseAnswers: true,
+	})
+	path := s.file("revoked.toml", revoked())
+	out, err := s.operate("r1", operatorKey, "apply", "--base", "1", "--id", "change-a", "--wait", "20s", path)
+	s.platformFault(faulter.Fault{Path: "/v1/table/commit"})
+	if err != nil {
+		out, err = s.operate("r2", operatorKey, "apply", "--base", "1", "--id", "change-a", "--wait", "20s", path)
+	}
+	if err != nil || !strings.Contains(out, "revision 2") {
+		t.Errorf("got %q, %v; want revision 2, once", out, err)
+	}
+}
+
+// TestDrain drains an endpoint by two operators at once; its present life gets
+// no new work at any router, and a new life gets work again.
+func TestDrain(t *testing.T) {
+	s := newSystem(t, 2)
+	var group errgroup.Group
+	for _, name := range []string{"r1", "r2"} {
+		group.Go(func() error {
+			out, err := s.operate(name, operatorKey, "drain", "e")
+			if err != nil {
+				t.Errorf("drain at %s: %v: %s", name, err, out)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for _, name := range []string{"r1", "r2"} {
+		eventually(t, "e left at "+name, func() error {
+			status, err := s.status(name)
+			if err != nil {
+				return err
+			}
+			for _, e := range status.Endpoints {
+				if e.Endpoint == "e" {
+					return errors.New("endpoint e is still used")
+				}
+			}
+			return nil
+		})
+	}
+	for i := range 10 {
+		prompt := fmt.Sprintf("plate %d", i)
+		checkWhole(t, streamDraft(t.Context(), s.routers["r1"].caller, councilKey, prompt, 8), prompt, 8)
+	}
+	if got := s.started(t, "e"); got != 0 {
+		t.Errorf("got %d streams at the drained endpoint, want 0", got)
+	}
+	s.engines["e"].signal(t, syscall.SIGKILL)
+	s.startEngine("e:0-12")
+	s.ready(7)
+}
+
+// TestBadInput tries keys and bodies that must be refused.
+func TestBadInput(t *testing.T) {
+	s := newSystem(t, 1)
+	r := s.routers["r1"]
+	for _, test := range []struct {
+		name, key, path, body string
+		want                  int
+	}{
+		{name: "no such key", key: "x", path: "/v1/completions", body: `{}`, want: 401},
+		{name: "operator's key", key: operatorKey, path: "/v1/completions", body: `{}`, want: 401},
+		{name: "not JSON", key: councilKey, path: "/v1/completions", body: `{`, want: 400},
+		{name: "no model", key: councilKey, path: "/v1/completions", body: `{"prompt":"x"}`, want: 404},
+		{name: "empty prompt", key: councilKey, path: "/v1/completions", body: `{"model":"drafts"}`, want: 400},
+		{name: "too many tokens", key: councilKey, path: "/v1/completions", body: `{"model":"drafts","prompt":"x","max_tokens":100000}`, want: 400},
+		{name: "plain service as model", key: councilKey, path: "/v1/completions", body: `{"model":"orders","prompt":"x"}`, want: 400},
+		{name: "no idempotency key", key: councilKey, path: "/services/orders/orders", body: `x`, want: 400},
+		{name: "no such service", key: councilKey, path: "/services/none/x", body: `x`, want: 404},
+		{name: "no such path", key: councilKey, path: "/nowhere", body: `x`, want: 404},
+		{name: "large body", key: councilKey, path: "/v1/completions", body: strings.Repeat("x", 2<<20), want: 413},
+	} {
+		res, err := post(t.Context(), r.caller, test.key, test.path, []byte(test.body), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", test.name, err)
+		}
+		res.Body.Close()
+		if res.StatusCode != test.want {
+			t.Errorf("%s: got status %d, want %d", test.name, res.StatusCode, test.want)
+		}
+	}
+	if out, err := s.operate("r1", councilKey, "get"); exitCode(err) != 1 || !strings.Contains(out, "unauthenticated") {
+		t.Errorf("caller's key at the operators' interface: got %q, %v; want unauthenticated", out, err)
+	}
+	path := s.file("bad.toml", declarations("tier = \"free\"", "tier = \"gratis\""))
+	if out, err := s.operate("r1", operatorKey, "check", path); exitCode(err) != exitInvalid || !strings.Contains(out, "bad.toml:") || !strings.Contains(out, "customer.hospice.tier") {
+		t.Errorf("got %q, %v; want an error with file, line and key", out, err)
+	}
+}
--- /dev/null
+++ b/router/harness_test.go
@@ -0,0 +1,521 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/authenticator"
+	"heatherhold.dev/standin/faulter"
+	"heatherhold.dev/standin/generator"
+)
+
+// The processes under test, built once with the race detector.
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "heatherhold")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-race", "-o", dir+"/", "../router", "../standin", "../operator")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	if err := os.RemoveAll(dir); err != nil {
+		panic(err)
+	}
+	os.Exit(code)
+}
+
+// Keys of the test's callers and operators.
+const (
+	councilKey   = "council-key"
+	hospiceKey   = "hospice-key"
+	operatorKey  = "operator-key"
+	bootstrapKey = "bootstrap-key"
+	layers       = 12
+	// patience bounds every wait; it is far above what a wait takes.
+	patience = 20 * time.Second
+)
+
+// process is one running program.
+type process struct {
+	name    string
+	cmd     *exec.Cmd
+	address string
+	done    chan struct{}
+	log     *bytes.Buffer
+	mu      *sync.Mutex
+}
+
+// system is a whole path as separate processes.
+type system struct {
+	t        *testing.T
+	dir      string
+	platform *process
+	engines  map[string]*process
+	services map[string]*process
+	routers  map[string]*router
+}
+
+// router is a router process and its addresses.
+type router struct {
+	*process
+	caller   string
+	operator string
+	peer     string
+	settings string
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newSystem starts the platform, engines, a plain service and n routers, and
+// applies the declarations.
+func newSystem(t *testing.T, n int, engines ...string) *system {
+	t.Helper()
+	s := &system{
+		t:        t,
+		dir:      t.TempDir(),
+		engines:  make(map[string]*process),
+		services: make(map[string]*process),
+		routers:  make(map[string]*router),
+	}
+	address := freePort(t)
+	s.platform = s.start("platform", "standin", "platform", "--listen", address, "--expiry", "2s")
+	s.platform.address = address
+	if len(engines) == 0 {
+		engines = []string{"a:0-4", "b:4-12", "c:0-6", "d:6-12", "e:0-12", "f:0-4", "g:4-12"}
+	}
+	for _, e := range engines {
+		s.startEngine(e)
+	}
+	s.startService("s1")
+	for i := range n {
+		s.startRouter(fmt.Sprintf("r%d", i+1))
+	}
+	s.apply(0, declarations())
+	s.ready(len(engines))
+	return s
+}
+
+// start runs a program until the test ends.
+func (s *system) start(name, program string, args ...string) *process {
+	s.t.Helper()
+	p := &process{
+		name: name,
+		cmd:  exec.Command(filepath.Join(binaries, program), args...),
+		done: make(chan struct{}),
+		log:  &bytes.Buffer{},
+		mu:   &sync.Mutex{},
+	}
+	p.cmd.Stdout = p
+	p.cmd.Stderr = p
+	if err := p.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	waited := make(chan struct{})
+	time.AfterFunc(0, func() {
+		defer close(waited)
+		_ = p.cmd.Wait()
+		close(p.done)
+	})
+	s.t.Cleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-waited
+		if s.t.Failed() {
+			s.t.Logf("--- log of %s\n%s", name, p.text())
+		}
+		if strings.Contains(p.text(), "DATA RACE") {
+			s.t.Errorf("data race in %s:\n%s", name, p.text())
+		}
+	})
+	return p
+}
+
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+func (p *process) signal(t *testing.T, sig os.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+// startEngine starts an engine described as "name:from-to" or
+// "name:from-to@version".
+func (s *system) startEngine(description string) *process {
+	s.t.Helper()
+	name, layout, _ := strings.Cut(description, ":")
+	layout, version, ok := strings.Cut(layout, "@")
+	if !ok {
+		version = "v1"
+	}
+	from, to, _ := strings.Cut(layout, "-")
+	address := freePort(s.t)
+	p := s.start(name, "standin", "engine", "--name", name, "--from", from, "--to", to, "--version", version,
+		"--listen", address, "--platform", s.url(), "--token-micros", "500", "--prefill-micros", "1")
+	p.address = address
+	s.engines[name] = p
+	return p
+}
+
+func (s *system) startService(name string, flags ...string) *process {
+	s.t.Helper()
+	address := freePort(s.t)
+	args := append([]string{"service", "--name", name, "--service", "orders", "--listen", address, "--platform", s.url()}, flags...)
+	p := s.start(name, "standin", args...)
+	p.address = address
+	s.services[name] = p
+	return p
+}
+
+func (s *system) url() string {
+	return "http://" + s.platform.address
+}
+
+// startRouter starts a router, or starts one of that name anew.
+func (s *system) startRouter(name string) *router {
+	s.t.Helper()
+	r, ok := s.routers[name]
+	if !ok {
+		r = &router{
+			caller:   freePort(s.t),
+			operator: freePort(s.t),
+			peer:     freePort(s.t),
+			settings: filepath.Join(s.dir, name+".toml"),
+		}
+		s.routers[name] = r
+		if err := os.WriteFile(r.settings, []byte(s.settingsOf(name, r)), 0o600); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	r.process = s.start(name, "router", "--settings", r.settings)
+	return r
+}
+
+func (s *system) settingsOf(name string, r *router) string {
+	return fmt.Sprintf(`
+instance = %q
+data-centre = "gijon"
+site = "site-%s"
+[listen]
+caller = %q
+operator = %q
+peer = %q
+[platform]
+url = %q
+timeout = "500ms"
+list-interval = "200ms"
+table-interval = "1s"
+[peer]
+interval = "100ms"
+term = "2s"
+silence = "1s"
+[operator]
+key-sha256 = %q
+[stop]
+notice = "500ms"
+finish = "30s"
+`, name, name, r.caller, r.operator, r.peer, s.url(), authenticator.Hash(bootstrapKey))
+}
+
+// declarations returns what the tests declare, with replacements made.
+func declarations(replace ...string) string {
+	text := fmt.Sprintf(`
+[rank.urgent]
+order = 0
+first-token = "430ms"
+between-tokens = "27ms"
+guaranteed-share = 0.3
+queue-limit = 1000
+max-wait = "20s"
+[rank.batch]
+order = 1
+first-token = "10m"
+between-tokens = "1s"
+guaranteed-share = 0.1
+queue-limit = 5000
+max-wait = "10m"
+[service.drafts]
+kind = "model"
+version = "v1"
+layers = 12
+max-tokens = 256
+progress = "1s"
+[service.orders]
+kind = "plain"
+repeatable-methods = ["GET"]
+progress = "2s"
+[customer.council]
+tier = "paying"
+weight = 1.0
+[customer.council.caller.desk]
+key-sha256 = "%s"
+rank = "urgent"
+[customer.hospice]
+tier = "free"
+weight = 1.0
+[customer.hospice.caller.volunteer]
+key-sha256 = "%s"
+rank = "batch"
+[operator.maria]
+key-sha256 = "%s"
+`, authenticator.Hash(councilKey), authenticator.Hash(hospiceKey), authenticator.Hash(operatorKey))
+	return strings.NewReplacer(replace...).Replace(text)
+}
+
+// apply applies a base file at a router by the command line.
+func (s *system) apply(base int, text string) {
+	s.t.Helper()
+	eventually(s.t, "apply", func() error {
+		out, err := s.operate("r1", bootstrapKey, "apply", "--base", fmt.Sprint(base), "--wait", "30s", s.file("base.toml", text))
+		if err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
+		return nil
+	})
+}
+
+func (s *system) file(name, text string) string {
+	s.t.Helper()
+	path := filepath.Join(s.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+// operate runs the operators' command line against a router.
+func (s *system) operate(router, key string, args ...string) (string, error) {
+	cmd := exec.Command(filepath.Join(binaries, "operator"), append(args, "--router", "http://"+s.routers[router].operator)...)
+	cmd.Env = append(os.Environ(), "HEATHERHOLD_KEY="+key)
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+// status returns a router's view.
+func (s *system) status(name string) (messenger.Status, error) {
+	var status messenger.Status
+	out, err := s.operate(name, bootstrapKey, "status", "--output", "json")
+	if err != nil {
+		return status, fmt.Errorf("%w: %s", err, out)
+	}
+	return status, json.Unmarshal([]byte(out), &status)
+}
+
+// ready waits until every router is ready and lists all endpoints and peers.
+func (s *system) ready(engines int) {
+	s.t.Helper()
+	for name, r := range s.routers {
+		eventually(s.t, name+" ready", func() error {
+			status, err := s.status(name)
+			if err != nil {
+				return err
+			}
+			if got, want := len(status.Endpoints), engines+len(s.services); got != want {
+				return fmt.Errorf("got %d endpoints, want %d", got, want)
+			}
+			if got, want := len(status.Live), len(s.routers); got != want {
+				return fmt.Errorf("got %d live instances, want %d", got, want)
+			}
+			return readyz(r)
+		})
+	}
+}
+
+func readyz(r *router) error {
+	res, err := http.Get("http://" + r.caller + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("got status %d, want 200", res.StatusCode)
+	}
+	return nil
+}
+
+// eventually calls f until it succeeds.
+func eventually(t *testing.T, what string, f func() error) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// put sends a JSON body to a stand-in.
+func put(t *testing.T, url string, v any) {
+	t.Helper()
+	body, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+}
+
+func (s *system) engineFaults(name string, f generator.Faults) {
+	s.t.Helper()
+	put(s.t, "http://"+s.engines[name].address+"/engine-faults", f)
+}
+
+func (s *system) allEngineFaults(f generator.Faults) {
+	s.t.Helper()
+	for name := range s.engines {
+		s.engineFaults(name, f)
+	}
+}
+
+func (s *system) platformFault(f faulter.Fault) {
+	s.t.Helper()
+	put(s.t, s.url()+"/faults", f)
+}
+
+// draft is the outcome of one draft.
+type draft struct {
+	status int
+	text   string
+	whole  bool
+	body   classifier.Body
+	err    error
+}
+
+// streamDraft asks a router for a draft, token by token.
+func streamDraft(ctx context.Context, address, key, prompt string, limit int) draft {
+	body, err := json.Marshal(map[string]any{
+		"model":      "drafts",
+		"prompt":     prompt,
+		"stream":     true,
+		"max_tokens": limit,
+	})
+	if err != nil {
+		return draft{err: err}
+	}
+	res, err := post(ctx, address, key, "/v1/completions", body, nil)
+	if err != nil {
+		return draft{err: err}
+	}
+	defer res.Body.Close()
+	d := draft{status: res.StatusCode}
+	if res.StatusCode != http.StatusOK {
+		d.err = json.NewDecoder(res.Body).Decode(&d.body)
+		return d
+	}
+	data, err := io.ReadAll(res.Body)
+	d.err = err
+	d.read(string(data))
+	return d
+}
+
+// read takes the events of a stream in.
+func (d *draft) read(events string) {
+	for _, line := range strings.Split(events, "\n") {
+		event, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if event == "[DONE]" {
+			d.whole = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+			classifier.Body
+		}
+		if err := json.Unmarshal([]byte(event), &chunk); err != nil {
+			d.err = err
+			return
+		}
+		if len(chunk.Choices) > 0 {
+			d.text += chunk.Choices[0].Text
+		}
+		if chunk.Error.Kind != "" {
+			d.body = chunk.Body
+		}
+	}
+}
+
+func post(ctx context.Context, address, key, path string, body []byte, header map[string]string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	time.AfterFunc(2*patience, cancel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// wantText returns the whole answer to a prompt.
+func wantText(prompt, version string, limit int) string {
+	return strings.Join(generator.Text(prompt, version, layers, int64(limit)), "")
+}
+
+// checkWhole fails the test unless d is the whole answer to its own prompt.
+func checkWhole(t *testing.T, d draft, prompt string, limit int) {
+	t.Helper()
+	if d.err != nil || d.status != http.StatusOK || !d.whole {
+		t.Errorf("draft of %q: got status %d, whole %t, error %v, body %+v; want the whole answer", prompt, d.status, d.whole, d.err, d.body)
+		return
+	}
+	if want := wantText(prompt, "v1", limit); d.text != want {
+		t.Errorf("draft of %q: got %q, want %q", prompt, d.text, want)
+	}
+}
--- /dev/null
+++ b/router/path_test.go
@@ -0,0 +1,250 @@
+package main_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"heatherhold.dev/standin/generator"
+)
+
+// TestWholePath drafts and orders at every router.
+func TestWholePath(t *testing.T) {
+	s := newSystem(t, 3)
+	for name, r := range s.routers {
+		prompt := "a plate for " + name
+		checkWhole(t, streamDraft(t.Context(), r.caller, councilKey, prompt, 40), prompt, 40)
+		wholeDraft(t, r)
+		order(t, r, name)
+	}
+}
+
+func wholeDraft(t *testing.T, r *router) {
+	t.Helper()
+	body := []byte(`{"model":"drafts","messages":[{"role":"user","content":"hello"}],"max_tokens":9}`)
+	res, err := post(t.Context(), r.caller, councilKey, "/v1/chat/completions", body, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	var got struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+			FinishReason string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&got); err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Choices) != 1 {
+		t.Fatalf("got %d choices, want 1", len(got.Choices))
+	}
+	if want := wantText("user: hello\n", "v1", 9); got.Choices[0].Message.Content != want {
+		t.Errorf("got %q, want %q", got.Choices[0].Message.Content, want)
+	}
+}
+
+func order(t *testing.T, r *router, key string) {
+	t.Helper()
+	var first string
+	for range 2 {
+		res, err := post(t.Context(), r.caller, councilKey, "/services/orders/orders", []byte("plate "+key), map[string]string{"Idempotency-Key": key})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		res.Body.Close()
+		if err != nil || res.StatusCode != http.StatusCreated {
+			t.Fatalf("got status %d, body %s, error %v; want 201", res.StatusCode, body, err)
+		}
+		if first == "" {
+			first = string(body)
+		}
+		if string(body) != first {
+			t.Errorf("got %s for the same key, want the kept answer %s", body, first)
+		}
+	}
+}
+
+// TestFaultyStreams breaks streams in every way. The streamer's own tests do so
+// at every token index.
+func TestFaultyStreams(t *testing.T) {
+	s := newSystem(t, 1)
+	const limit = 10
+	faults := []generator.Faults{
+		{CrossEvery: 2},
+		{DoubleEvery: 2},
+		{SwapEvery: 3},
+		{CrossEvery: 2, DoubleEvery: 3, SwapEvery: 4},
+	}
+	for _, at := range []int64{1, limit} {
+		faults = append(faults, generator.Faults{BreakAt: at}, generator.Faults{EndEarlyAt: at}, generator.Faults{SilentAt: at})
+	}
+	for i, f := range faults {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			s.allEngineFaults(f)
+			prompt := fmt.Sprintf("plate %d", i)
+			checkWhole(t, streamDraft(t.Context(), s.routers["r1"].caller, councilKey, prompt, limit), prompt, limit)
+		})
+	}
+}
+
+// TestWrongStages lets engines skip a layer or stamp another version; a chain
+// of the honest ones must serve, and no wrong token may reach the caller.
+func TestWrongStages(t *testing.T) {
+	s := newSystem(t, 1, "a:0-6", "b:6-12", "other:0-12", "skips:0-12")
+	s.engineFaults("other", generator.Faults{OtherVersion: true})
+	s.engineFaults("skips", generator.Faults{SkipLayer: true})
+	for i := range 10 {
+		prompt := fmt.Sprintf("plate %d", i)
+		checkWhole(t, streamDraft(t.Context(), s.routers["r1"].caller, councilKey, prompt, 12), prompt, 12)
+	}
+}
+
+// load keeps drafting at several routers until stop, and checks every draft.
+type load struct {
+	group errgroup.Group
+	stop  context.CancelFunc
+	count chan int
+}
+
+func startLoad(ctx context.Context, t *testing.T, workers int, targets ...*router) *load {
+	t.Helper()
+	ctx, stop := context.WithCancel(ctx)
+	l := &load{
+		stop:  stop,
+		count: make(chan int, workers),
+	}
+	for w := range workers {
+		l.group.Go(func() error {
+			n := 0
+			defer func() { l.count <- n }()
+			for ctx.Err() == nil {
+				prompt := fmt.Sprintf("worker %d plate %d", w, n)
+				d := streamDraft(context.Background(), targets[w%len(targets)].caller, councilKey, prompt, 60)
+				checkWhole(t, d, prompt, 60)
+				n++
+			}
+			return nil
+		})
+	}
+	return l
+}
+
+func (l *load) end(t *testing.T, workers int) {
+	t.Helper()
+	l.stop()
+	if err := l.group.Wait(); err != nil {
+		t.Error(err)
+	}
+	total := 0
+	for range workers {
+		total += <-l.count
+	}
+	t.Logf("%d drafts", total)
+	if total == 0 {
+		t.Error("got no draft, want many")
+	}
+}
+
+// ownerOf returns the router that owns the pool of drafts.
+func (s *system) ownerOf(t *testing.T, names ...string) string {
+	t.Helper()
+	owner := ""
+	eventually(t, "find owner", func() error {
+		for _, name := range names {
+			status, err := s.status(name)
+			if err != nil {
+				return err
+			}
+			for _, p := range status.Pools {
+				if p.Service == "drafts" && !p.Alone {
+					owner = name
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("no router owns the pool")
+	})
+	return owner
+}
+
+// TestKillOwner kills the pool owner under load; no stream of the others is lost.
+func TestKillOwner(t *testing.T) {
+	s := newSystem(t, 3)
+	warm := startLoad(t.Context(), t, 1, s.routers["r1"])
+	owner := s.ownerOf(t, "r1", "r2", "r3")
+	warm.end(t, 1)
+	var others []*router
+	var names []string
+	for name, r := range s.routers {
+		if name != owner {
+			others = append(others, r)
+			names = append(names, name)
+		}
+	}
+	l := startLoad(t.Context(), t, 8, others...)
+	time.Sleep(500 * time.Millisecond)
+	s.routers[owner].signal(t, syscall.SIGKILL)
+	next := s.ownerOf(t, names...)
+	time.Sleep(time.Second)
+	l.end(t, 8)
+	if next == owner {
+		t.Errorf("got owner %s after it was killed, want another", next)
+	}
+}
+
+// TestKillAndFreezeEngines kills one engine and freezes another under load.
+func TestKillAndFreezeEngines(t *testing.T) {
+	s := newSystem(t, 2)
+	l := startLoad(t.Context(), t, 6, s.routers["r1"], s.routers["r2"])
+	time.Sleep(300 * time.Millisecond)
+	s.engines["e"].signal(t, syscall.SIGKILL)
+	time.Sleep(300 * time.Millisecond)
+	s.engines["b"].signal(t, syscall.SIGSTOP)
+	time.Sleep(3 * time.Second)
+	s.engines["b"].signal(t, syscall.SIGCONT)
+	time.Sleep(time.Second)
+	l.end(t, 6)
+}
+
+// TestPlannedStop stops a router under load of drafts and orders; no request
+// is cut off. Callers move away when the router says that it is not ready.
+func TestPlannedStop(t *testing.T) {
+	s := newSystem(t, 3)
+	r := s.routers["r1"]
+	var group errgroup.Group
+	for w := range 6 {
+		group.Go(func() error {
+			for n := 0; readyz(r) == nil; n++ {
+				prompt := fmt.Sprintf("worker %d plate %d", w, n)
+				checkWhole(t, streamDraft(context.Background(), r.caller, councilKey, prompt, 100), prompt, 100)
+				order(t, r, fmt.Sprintf("stop-%d-%d", w, n))
+			}
+			return nil
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	r.signal(t, syscall.SIGTERM)
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-r.done:
+	case <-time.After(patience):
+		t.Fatal("the router did not stop")
+	}
+	if text := r.text(); strings.Contains(text, "cut off") || !strings.Contains(text, "stopped") {
+		t.Errorf("got log %s; want a stop that cuts nothing off", text)
+	}
+}
--- a/router/scheduler/class.go
+++ b/router/scheduler/class.go
@@ -175,7 +175,7 @@
 	var out []*entry
 	for _, u := range c.customers {
 		for _, e := range u.queue {
-			if now.After(e.deadline) && !e.ask.Resumed {
+			if now.After(e.deadline) {
 				out = append(out, e)
 			}
 		}
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -37,18 +37,41 @@
 	for i := range p.runners {
 		r := &p.runners[i]
 		r.Running = p.own[r.Life] + p.foreign[r.Life]
-		until, ok := p.failed[r.Life]
-		if !ok {
-			continue
+		if now.Before(p.failed[r.Life].until) {
+			r.Running = max(r.Running, r.Slots)
 		}
-		if now.After(until) {
-			delete(p.failed, r.Life)
-			continue
+	}
+}
+
+// failure is what is held against an endpoint.
+type failure struct {
+	inRow int
+	until time.Time
+}
+
+// judge keeps work from the endpoint that broke a stream, for longer each time,
+// and clears the others that took part in a stream that did not break.
+func (p *Pool) judge(now time.Time, f *flight, o Outcome) {
+	if o.Failed.Endpoint != "" {
+		old := p.failed[o.Failed]
+		pause := min(failedPause<<min(old.inRow, maxDoublings), failedLimit)
+		p.failed[o.Failed] = failure{
+			inRow: old.inRow + 1,
+			until: now.Add(pause),
 		}
-		r.Running = max(r.Running, r.Slots)
+		return
+	}
+	if o.Tokens == 0 {
+		return
+	}
+	for _, s := range f.chain {
+		delete(p.failed, s.Life)
 	}
 }
 
+// maxDoublings bounds how often the pause of a failing endpoint doubles.
+const maxDoublings = 6
+
 func (p *Pool) bump(l identifier.Life) {
 	for i := range p.runners {
 		if p.runners[i].Life == l {
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -93,7 +93,7 @@
 	runners   []planner.Runner
 	foreign   map[identifier.Life]int
 	own       map[identifier.Life]int
-	failed    map[identifier.Life]time.Time
+	failed    map[identifier.Life]failure
 	classes   map[classKey]*class
 	order     []*class
 	flights   map[identifier.Request]*flight
@@ -137,8 +137,15 @@
 	lengthGain = 0.2
 	// recentWindow is how long a token counts towards a class's recent share.
 	recentWindow = 5 * time.Second
-	// failedPause is how long an endpoint that broke a stream gets no work.
-	failedPause = 2 * time.Second
+	// failedPause is how long an endpoint that broke a stream gets no work; it
+	// doubles with each failure in a row, up to failedLimit.
+	failedPause = time.Second
+	failedLimit = time.Minute
+	// avoidFor is how long a request waits for a chain without the endpoints
+	// that failed it; then any chain will do.
+	avoidFor = 2 * failedPause
+	// resumedWait is how long a request that holds a part of its answer waits.
+	resumedWait = 30 * time.Second
 )
 
 // cost predicts what a request takes, in output tokens.
@@ -176,7 +183,7 @@
 	}
 	p.foreign = make(map[identifier.Life]int)
 	p.own = make(map[identifier.Life]int)
-	p.failed = make(map[identifier.Life]time.Time)
+	p.failed = make(map[identifier.Life]failure)
 	p.classes = make(map[classKey]*class)
 	p.flights = make(map[identifier.Request]*flight)
 	p.waiting = make(map[identifier.Request]*entry)
@@ -213,6 +220,9 @@
 		since:    now,
 		deadline: now.Add(rank.MaxWait.Std()),
 	}
+	if a.Resumed {
+		e.deadline = now.Add(resumedWait)
+	}
 	if !a.Resumed && !p.admit(now, c, e, rank) {
 		return
 	}
@@ -272,9 +282,7 @@
 	for _, s := range f.chain {
 		p.own[s.Life]--
 	}
-	if o.Failed.Endpoint != "" {
-		p.failed[o.Failed] = now.Add(failedPause)
-	}
+	p.judge(now, f, o)
 	used := float64(f.ask.Prompt)*promptWeight + float64(o.Tokens)
 	f.class.charge(f.ask.Customer, f.ask.Weight, used-f.cost)
 	f.class.add(now, used-f.cost)
@@ -324,6 +332,9 @@
 // grantFrom starts the first request of c, in fair order, that finds a chain.
 func (p *Pool) grantFrom(now time.Time, c *class) bool {
 	for _, e := range c.heads() {
+		if now.Sub(e.since) > avoidFor {
+			e.ask.Avoid = nil
+		}
 		chain := p.plan(e.ask)
 		if chain == nil {
 			continue
@@ -358,7 +369,7 @@
 	}
 }
 
-// expire refuses what waited past its deadline. Resumed requests wait on.
+// expire refuses what waited past its deadline.
 func (p *Pool) expire(now time.Time) {
 	for _, c := range p.order {
 		for _, e := range c.expired(now) {
--- a/standin/generator/engine.go
+++ b/standin/generator/engine.go
@@ -18,9 +18,9 @@
 
 // Faults are what an engine does wrong on demand; zero fields do nothing.
 type Faults struct {
-	// BreakAt breaks streams before the so manyth token, once for each request.
+	// BreakAt breaks streams before the so manyth token, once for each prompt.
 	BreakAt int64 `json:"break-at"`
-	// SilentAt stops answering before the so manyth token without closing, once for each request.
+	// SilentAt stops answering before the so manyth token without closing, once for each prompt.
 	SilentAt int64 `json:"silent-at"`
 	// DoubleEvery sends every so manyth frame twice.
 	DoubleEvery int64 `json:"double-every"`
@@ -28,10 +28,10 @@
 	SwapEvery int64 `json:"swap-every"`
 	// CrossEvery sends a frame of another request before every so manyth.
 	CrossEvery int64 `json:"cross-every"`
-	// SkipLayer runs one layer too few.
+	// SkipLayer runs one layer too few, and says so in the stamp.
 	SkipLayer bool `json:"skip-layer"`
-	// WrongStamp stamps with another version.
-	WrongStamp bool `json:"wrong-stamp"`
+	// OtherVersion runs another version, and says so in the stamp.
+	OtherVersion bool `json:"other-version"`
 	// EndEarlyAt closes the answer cleanly before the so manyth token, without a finish frame.
 	EndEarlyAt int64 `json:"end-early-at"`
 	// StateSilent leaves state requests without an answer.
@@ -116,6 +116,7 @@
 		engine:  e,
 		w:       w,
 		request: req.Request,
+		prompt:  req.Prompt,
 	}
 	if err := e.generate(ctx, req, out); err != nil {
 		out.send(messenger.EngineFrame{Error: err.Error()})
@@ -189,16 +190,14 @@
 	if !sleep(ctx, time.Duration(s.TokenMicros)*time.Microsecond) {
 		return messenger.EngineStepped{}, errors.New("cancelled")
 	}
-	from := s.From
 	if faults.SkipLayer {
-		from++
+		s.From++
 	}
-	stamped := s
-	if faults.WrongStamp {
-		stamped.Version += "-other"
+	if faults.OtherVersion {
+		s.Version += "-other"
 	}
-	stamp := stageOf(stamped).Stamp()
-	out := messenger.EngineStepped{State: run(step.State, from, s.To, s.Version)}
+	stamp := stageOf(s).Stamp()
+	out := messenger.EngineStepped{State: run(step.State, s.From, s.To, s.Version)}
 	if len(step.Chain) > 1 {
 		next, err := e.forward(ctx, messenger.EngineStep{
 			Request: step.Request,
@@ -298,19 +297,24 @@
 	if !read(w, r, &f) {
 		return
 	}
+	e.SetFaults(f)
+}
+
+// SetFaults switches faults on, in place of those before.
+func (e *Engine) SetFaults(f Faults) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
 }
 
-// trip says whether a fault is due at index, once for each request.
-func (e *Engine) trip(name, request string, at, index int64) bool {
+// trip says whether a fault is due at index, once for each prompt.
+func (e *Engine) trip(name, prompt string, at, index int64) bool {
 	if at == 0 || index+1 < at {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	key := name + " " + request
+	key := name + " " + prompt
 	if e.tripped[key] {
 		return false
 	}
--- a/standin/generator/writer.go
+++ b/standin/generator/writer.go
@@ -13,20 +13,21 @@
 	engine  *Engine
 	w       http.ResponseWriter
 	request string
+	prompt  string
 	held    *messenger.EngineFrame
 }
 
 // token sends one token and says whether the stream goes on.
 func (o *writer) token(ctx context.Context, f messenger.EngineFrame) bool {
 	_, faults := o.engine.snapshot()
-	if o.engine.trip("break", o.request, faults.BreakAt, f.Index) {
+	if o.engine.trip("break", o.prompt, faults.BreakAt, f.Index) {
 		panic(http.ErrAbortHandler)
 	}
-	if o.engine.trip("silent", o.request, faults.SilentAt, f.Index) {
+	if o.engine.trip("silent", o.prompt, faults.SilentAt, f.Index) {
 		<-ctx.Done()
 		return false
 	}
-	if o.engine.trip("end", o.request, faults.EndEarlyAt, f.Index) {
+	if o.engine.trip("end", o.prompt, faults.EndEarlyAt, f.Index) {
 		return false
 	}
 	if due(faults.CrossEvery, f.Index) {
--- a/standin/main.go
+++ b/standin/main.go
@@ -28,7 +28,7 @@
 
 const (
 	headerTimeout    = 5 * time.Second
-	announceInterval = time.Second
+	announceInterval = 500 * time.Millisecond
 )
 
 // site is where a stand-in listens and how it is listed.
@@ -64,6 +64,7 @@
 	}
 	c.Flags().StringVar(&s.listen, "listen", "127.0.0.1:7100", "address to listen on")
 	c.Flags().DurationVar(&t.Lag, "lag", 0, "how far the instance list is behind")
+	c.Flags().DurationVar(&t.Expiry, "expiry", 0, "how long an instance stays listed without being announced; 0 means for ever")
 	return c
 }
 
--- a/standin/tabler/tabler.go
+++ b/standin/tabler/tabler.go
@@ -22,11 +22,15 @@
 type Tabler struct {
 	// Lag is how far the instance list is behind.
 	Lag time.Duration
+	// Expiry is how long an instance stays listed without being announced;
+	// 0 means for ever.
+	Expiry time.Duration
 
 	mu      sync.Mutex
 	rows    map[string]messenger.Row
 	objects map[string][]byte
 	list    map[string]messenger.Listed
+	seen    map[string]time.Time
 	past    []snapshot
 	reads   int64
 	writes  int64
@@ -42,6 +46,7 @@
 	t.rows = make(map[string]messenger.Row)
 	t.objects = make(map[string][]byte)
 	t.list = make(map[string]messenger.Listed)
+	t.seen = make(map[string]time.Time)
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/table/commit", t.commit).Methods(http.MethodPost)
 	r.HandleFunc("/v1/table/rows", t.row).Methods(http.MethodGet)
@@ -146,6 +151,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.list[l.Name] = l
+	t.seen[l.Name] = time.Now()
 	t.remember()
 }
 
@@ -173,8 +179,23 @@
 	}
 }
 
+// expire drops what was not announced for long.
+func (t *Tabler) expire() {
+	if t.Expiry == 0 {
+		return
+	}
+	for name, at := range t.seen {
+		if time.Since(at) > t.Expiry {
+			delete(t.list, name)
+			delete(t.seen, name)
+			t.remember()
+		}
+	}
+}
+
 func (t *Tabler) instances(w http.ResponseWriter, _ *http.Request) {
 	t.mu.Lock()
+	t.expire()
 	var l messenger.Listing
 	for _, s := range t.past {
 		if time.Since(s.at) >= t.Lag {
