Return results from the control loop by value

Cause: a call to the control loop that ends early, because its context ended, left a function that still wrote to the caller's variables: a data race, seen by TestPausedInstance, TestTwoPausedInstances and TestPausedClaimant, where a frozen peer let calls time out.

Ruled out: the state itself, which only the loop touches.

Change: looper.Get hands the result over a channel; no caller shares a variable with the loop any more.

Seen: the three tests failed on the race before and pass now.

--- a/router/controller/change.go
+++ b/router/controller/change.go
@@ -14,6 +14,7 @@
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/committer"
 	"heatherhold.dev/router/keeper"
+	"heatherhold.dev/router/looper"
 	"heatherhold.dev/router/spreader"
 )
 
@@ -35,15 +36,21 @@
 	return "the configuration has changed since the base revision"
 }
 
+// configuration is one revision's sections.
+type configuration struct {
+	revision identifier.Revision
+	document declarer.Document
+}
+
 // Configuration returns the revision in force and its sections.
 func (c *Controller) Configuration(ctx context.Context) (identifier.Revision, declarer.Document, error) {
-	var r identifier.Revision
-	var d declarer.Document
-	err := c.Loop.Do(ctx, func() {
-		r = c.state.Revision()
-		d = c.state.Document()
+	got, err := looper.Get(ctx, c.Loop, func() configuration {
+		return configuration{
+			revision: c.state.Revision(),
+			document: c.state.Document(),
+		}
 	})
-	return r, d, err
+	return got.revision, got.document, err
 }
 
 // snapshotEvery is how many revisions lie between two snapshots.
@@ -98,28 +105,26 @@
 
 // repeated finds out whether the change was committed before under its id.
 func (c *Controller) repeated(ctx context.Context, base identifier.Revision, id string) (identifier.Revision, bool, error) {
-	var found identifier.Revision
-	err := c.Loop.Do(ctx, func() {
+	found, err := looper.Get(ctx, c.Loop, func() identifier.Revision {
 		changes, _ := c.state.Since(base)
 		for _, change := range changes {
 			if change.GetId() == id {
-				found = identifier.Revision(change.GetRevision())
+				return identifier.Revision(change.GetRevision())
 			}
 		}
+		return 0
 	})
 	return found, found != 0, err
 }
 
 // committed brings a committed change in force here and spreads it.
 func (c *Controller) committed(ctx context.Context, wire *messenger.Change) error {
-	var snapshot *messenger.Change
-	err := c.Loop.Do(ctx, func() {
-		c.update(func(time.Time) {
-			c.state.Apply([]*messenger.Change{wire})
-			if wire.GetRevision()%snapshotEvery == 0 {
-				snapshot = c.state.Snapshot()
-			}
-		})
+	snapshot, err := looper.Get(ctx, c.Loop, func() *messenger.Change {
+		c.update(func(time.Time) { c.state.Apply([]*messenger.Change{wire}) })
+		if wire.GetRevision()%snapshotEvery != 0 {
+			return nil
+		}
+		return c.state.Snapshot()
 	})
 	if err != nil || snapshot == nil {
 		return err
@@ -134,21 +139,11 @@
 func (c *Controller) conflict(ctx context.Context, base identifier.Revision, mine declarer.Change) error {
 	// Without the table the conflict shows what is known here.
 	_ = c.catchUp(ctx)
-	e := &ConflictError{}
-	err := c.Loop.Do(ctx, func() {
-		e.Latest = c.state.Revision()
+	e, err := looper.Get(ctx, c.Loop, func() *ConflictError {
 		changes, _ := c.state.Since(base)
-		for _, theirs := range changes {
-			for _, entry := range theirs.GetEntries() {
-				yours, both := mine[declarer.Key(entry.GetKey())]
-				if both {
-					e.Conflicts = append(e.Conflicts, Conflict{
-						Key:    declarer.Key(entry.GetKey()),
-						Theirs: string(entry.GetValue()),
-						Yours:  string(yours),
-					})
-				}
-			}
+		return &ConflictError{
+			Latest:    c.state.Revision(),
+			Conflicts: conflicts(changes, mine),
 		}
 	})
 	if err != nil {
@@ -157,6 +152,24 @@
 	return e
 }
 
+// conflicts returns the sections that both the others' changes and mine set.
+func conflicts(theirs []*messenger.Change, mine declarer.Change) []Conflict {
+	var out []Conflict
+	for _, change := range theirs {
+		for _, entry := range change.GetEntries() {
+			yours, both := mine[declarer.Key(entry.GetKey())]
+			if both {
+				out = append(out, Conflict{
+					Key:    declarer.Key(entry.GetKey()),
+					Theirs: string(entry.GetValue()),
+					Yours:  string(yours),
+				})
+			}
+		}
+	}
+	return out
+}
+
 const (
 	acceptanceInterval = 100 * time.Millisecond
 	acceptanceParallel = 64
@@ -255,12 +268,13 @@
 // Drain marks an endpoint's present life as leaving, keeps the mark in the
 // table where that answers, and spreads it.
 func (c *Controller) Drain(ctx context.Context, name identifier.Endpoint) ([]identifier.Life, bool, error) {
-	var lives []identifier.Life
-	err := c.Loop.Do(ctx, func() {
+	lives, err := looper.Get(ctx, c.Loop, func() []identifier.Life {
+		var lives []identifier.Life
 		for _, l := range c.endpointsNamed(name) {
 			lives = append(lives, lifeOf(l))
 			c.MarkOnLoop(lifeOf(l))
 		}
+		return lives
 	})
 	if err != nil {
 		return nil, false, err
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -40,6 +40,8 @@
 	Granter   *granter.Granter
 	Log       logrus.FieldLogger
 
+	incarnation uint64
+
 	state  *spreader.State
 	listed []messenger.Listed
 	built  identifier.Revision
@@ -57,8 +59,9 @@
 func New(s *loader.Settings, loop *looper.Loop) *Controller {
 	now := time.Now()
 	return &Controller{
-		Settings: s,
-		Loop:     loop,
+		Settings:    s,
+		Loop:        loop,
+		incarnation: uint64(now.UnixNano()),
 		state: &spreader.State{
 			Self: &messenger.Member{
 				Instance:    string(s.Instance),
@@ -157,9 +160,7 @@
 
 // Members returns the other instances that are not gone.
 func (c *Controller) Members(ctx context.Context) ([]*messenger.Member, error) {
-	var members []*messenger.Member
-	err := c.Loop.Do(ctx, func() { members = c.state.Members() })
-	return members, err
+	return looper.Get(ctx, c.Loop, c.state.Members)
 }
 
 // exchangeParts is how many exchanges fit in one term.
@@ -178,28 +179,28 @@
 }
 
 func (c *Controller) exchange(ctx context.Context, m *messenger.Member, known identifier.Revision) (*messenger.ExchangeReply, identifier.Revision, error) {
-	var request *messenger.ExchangeRequest
 	sent := time.Now()
-	if err := c.Loop.Do(ctx, func() { request = c.state.Request(sent, known) }); err != nil {
+	request, err := looper.Get(ctx, c.Loop, func() *messenger.ExchangeRequest { return c.state.Request(sent, known) })
+	if err != nil {
 		return nil, 0, err
 	}
 	reply, err := c.Dialer.Exchange(ctx, m.GetAddress(), request)
 	if err != nil {
 		return nil, 0, err
 	}
-	mine := identifier.Revision(0)
-	err = c.Loop.Do(ctx, func() {
+	mine, err := looper.Get(ctx, c.Loop, func() identifier.Revision {
 		c.update(func(now time.Time) { c.state.Receive(sent, now, reply) })
-		mine = c.state.Revision()
+		return c.state.Revision()
 	})
 	return reply, mine, err
 }
 
 // Answer answers a peer's exchange.
 func (c *Controller) Answer(ctx context.Context, r *messenger.ExchangeRequest) (*messenger.ExchangeReply, error) {
-	var reply *messenger.ExchangeReply
-	err := c.Loop.Do(ctx, func() {
+	reply, err := looper.Get(ctx, c.Loop, func() *messenger.ExchangeReply {
+		var reply *messenger.ExchangeReply
 		c.update(func(now time.Time) { reply = c.state.Answer(now, r) })
+		return reply
 	})
 	return reply, errors.Wrap(err, "answer exchange")
 }
--- a/router/controller/platform.go
+++ b/router/controller/platform.go
@@ -10,6 +10,7 @@
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/looper"
 )
 
 // routerRole is the role of router instances in the platform's list.
@@ -41,7 +42,7 @@
 		Name:        string(c.Settings.Instance),
 		Role:        routerRole,
 		Address:     c.Settings.Listen.Peer,
-		Incarnation: c.state.Self.GetIncarnation(),
+		Incarnation: c.incarnation,
 		DataCentre:  string(c.Settings.DataCentre),
 		Site:        string(c.Settings.Site),
 	}
@@ -97,14 +98,13 @@
 func (c *Controller) tableInterval(ctx context.Context) time.Duration {
 	interval := c.Settings.Platform.TableInterval.Std()
 	term := c.Settings.Peer.Term.Std()
-	// An error means that the loop has ended, and ctx with it.
-	_ = c.Loop.Do(ctx, func() {
+	lonely, err := looper.Get(ctx, c.Loop, func() bool {
 		now := time.Now()
-		left := c.state.ConfirmedUntil().Sub(now)
-		if left < term/2 || !c.state.Established(now) {
-			interval = min(interval, term/fastParts)
-		}
+		return c.state.ConfirmedUntil().Sub(now) < term/2 || !c.state.Established(now)
 	})
+	if err == nil && lonely {
+		return min(interval, term/fastParts)
+	}
 	return interval
 }
 
@@ -153,9 +153,7 @@
 
 // Revision returns the revision in force.
 func (c *Controller) Revision(ctx context.Context) (identifier.Revision, error) {
-	var r identifier.Revision
-	err := c.Loop.Do(ctx, func() { r = c.state.Revision() })
-	return r, err
+	return looper.Get(ctx, c.Loop, c.state.Revision)
 }
 
 func markKey(l identifier.Life) string {
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -233,16 +233,16 @@
 
 // Loads returns how many requests wait and run in each owned pool.
 func (g *Granter) Loads(ctx context.Context) (map[Key]Load, error) {
-	loads := make(map[Key]Load)
-	err := g.Loop.Do(ctx, func() {
+	return looper.Get(ctx, g.Loop, func() map[Key]Load {
+		loads := make(map[Key]Load)
 		for key, p := range g.pools {
 			loads[key] = Load{
 				Waiting: p.scheduler.Waiting(),
 				Running: p.scheduler.Flights(),
 			}
 		}
+		return loads
 	})
-	return loads, err
 }
 
 // Load is a pool's work at one moment.
--- a/router/granter/poll.go
+++ b/router/granter/poll.go
@@ -8,6 +8,7 @@
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/driver"
+	"heatherhold.dev/router/looper"
 	"heatherhold.dev/router/observer"
 	"heatherhold.dev/router/planner"
 	"heatherhold.dev/router/scheduler"
@@ -30,11 +31,12 @@
 
 // poll asks the endpoints of all pools for their state.
 func (g *Granter) poll(ctx context.Context) {
-	services := make(map[identifier.Service]bool)
-	err := g.Loop.Do(ctx, func() {
+	services, err := looper.Get(ctx, g.Loop, func() map[identifier.Service]bool {
+		services := make(map[identifier.Service]bool)
 		for key := range g.pools {
 			services[key.Service] = true
 		}
+		return services
 	})
 	if err != nil {
 		return
--- a/router/granter/serve.go
+++ b/router/granter/serve.go
@@ -11,6 +11,7 @@
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/looper"
 	"heatherhold.dev/router/scheduler"
 )
 
@@ -117,9 +118,17 @@
 
 // Open begins a conversation about a pool.
 func (g *Granter) Open(ctx context.Context, key Key) (*Local, error) {
-	l := &Local{granter: g}
-	err := g.Loop.Do(ctx, func() { l.talk = g.begin(key) })
-	return l, errors.Wrap(err, "open pool")
+	talk, err := looper.Get(ctx, g.Loop, func() *Talk {
+		if ctx.Err() != nil {
+			// Nobody is left to close the conversation.
+			return nil
+		}
+		return g.begin(key)
+	})
+	return &Local{
+		granter: g,
+		talk:    talk,
+	}, errors.Wrap(err, "open pool")
 }
 
 // Send hands the owner a message.
--- a/router/looper/looper.go
+++ b/router/looper/looper.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// Do runs f on the loop and waits until it has returned or ctx ends; after an
-// error f may still run.
+// Do runs f on the loop and waits until it has returned or ctx ends. After an
+// error f may still run: it must write to nothing that its caller reads.
 func (l *Loop) Do(ctx context.Context, f func()) error {
 	ran := make(chan struct{})
 	l.Post(func() {
@@ -59,3 +59,19 @@
 		return context.Canceled
 	}
 }
+
+// Get runs f on the loop and returns its result. After an error f may still
+// run, and its result is dropped: f must write to nothing that its caller reads.
+func Get[T any](ctx context.Context, l *Loop, f func() T) (T, error) {
+	result := make(chan T, 1)
+	l.Post(func() { result <- f() })
+	var none T
+	select {
+	case got := <-result:
+		return got, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	case <-l.done:
+		return none, context.Canceled
+	}
+}
