Say accepted only when no instance can still decide by an older revision

Ruled out: the exchange between established instances, and the fence by the instance's own clock, which held in all runs.

Change: a change is accepted one term after its commit at the earliest, and only by an instance that has read the platform's list after its own establishment time. Weighed against it: a registration row in the table for each start, which is faster and costs a write a start and a scan a change.

Not killed: taking an answer whose changes did not reach the answerer's revision; exchanges here always bring them.

--- a/router/controller/change.go
+++ b/router/controller/change.go
@@ -213,10 +213,7 @@
 		return false, nil, err
 	}
 	if have < r {
-		return false, []spreader.Waiting{{
-			Instance: c.Settings.Instance,
-			Site:     c.Settings.Site,
-		}}, nil
+		return false, c.itself(), nil
 	}
 	f := c.follow(r)
 	f.mu.Lock()
@@ -227,12 +224,29 @@
 			return false, nil, err
 		}
 		ok, waiting := f.acceptance.Accepted(time.Now())
+		oversees, err := looper.Get(ctx, c.Loop, c.state.Oversees)
+		if err != nil {
+			return false, nil, err
+		}
+		if ok && !oversees && r > firstRevision {
+			ok, waiting = false, c.itself()
+		}
 		if ok || time.Now().After(deadline) || !pause(ctx, acceptanceInterval) {
 			return ok, waiting, nil
 		}
 	}
 }
 
+// firstRevision has none before it that an instance could decide by.
+const firstRevision = 1
+
+func (c *Controller) itself() []spreader.Waiting {
+	return []spreader.Waiting{{
+		Instance: c.Settings.Instance,
+		Site:     c.Settings.Site,
+	}}
+}
+
 // ask exchanges with every instance that has not answered with the revision.
 func (c *Controller) ask(ctx context.Context, a *spreader.Acceptance) error {
 	members, err := c.Members(ctx)
--- /dev/null
+++ b/router/forwarder/history_test.go
@@ -0,0 +1,314 @@
+package forwarder_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/claimer"
+	"heatherhold.dev/router/forwarder"
+	"heatherhold.dev/router/keeper"
+	"heatherhold.dev/router/observer"
+	"heatherhold.dev/router/streamer"
+	"heatherhold.dev/standin/recorder"
+	"heatherhold.dev/standin/tabler"
+)
+
+const (
+	seed      = 7
+	requests  = 10_080
+	instances = 3
+	workers   = 24
+	keys      = 2_500
+)
+
+// flakyTable is a table whose answers are lost, before or after the write.
+type flakyTable struct {
+	table *tabler.Tabler
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (f *flakyTable) chance(percent int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(100) < percent
+}
+
+func (f *flakyTable) Commit(_ context.Context, c messenger.Commit) ([]messenger.Row, error) {
+	if f.chance(10) {
+		return nil, keeper.ErrDown
+	}
+	conflicts := f.table.Commit(c)
+	if f.chance(10) {
+		return nil, keeper.ErrDown
+	}
+	return conflicts, nil
+}
+
+func (f *flakyTable) Row(context.Context, string) (messenger.Row, error) {
+	return messenger.Row{}, keeper.ErrDown
+}
+
+func (f *flakyTable) Scan(context.Context, string, string) ([]messenger.Row, error) {
+	return nil, keeper.ErrDown
+}
+
+// flakyService runs calls and drops some connections, before or after the run.
+type flakyService struct {
+	handler http.Handler
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (f *flakyService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	fault := f.random.IntN(100)
+	f.mu.Unlock()
+	switch {
+	case fault < 4:
+		panic(http.ErrAbortHandler)
+	case fault < 8:
+		f.handler.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	case fault < 9:
+		f.handler.ServeHTTP(httptest.NewRecorder(), r)
+		<-r.Context().Done()
+	default:
+		f.handler.ServeHTTP(w, r)
+	}
+}
+
+// closedPort returns an address where nothing listens.
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// bench is several instances before one table and one faulty service.
+type bench struct {
+	forwarders []*forwarder.Forwarder
+	service    *httptest.Server
+	group      errgroup.Group
+	stop       context.CancelFunc
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	var orders recorder.Recorder
+	b := &bench{service: httptest.NewServer(&flakyService{
+		handler: orders.Handler(),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+	})}
+	t.Cleanup(func() {
+		b.service.CloseClientConnections()
+		b.service.Close()
+	})
+	var table tabler.Tabler
+	table.Handler()
+	view := observer.New()
+	view.Publish(&observer.View{Endpoints: map[identifier.Service][]observer.Endpoint{"orders": {
+		{Address: strings.TrimPrefix(b.service.URL, "http://")},
+		{Address: closedPort(t)},
+	}}})
+	ctx, stop := context.WithCancel(context.Background())
+	b.stop = stop
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	for i := range uint64(instances) {
+		c := claimer.New()
+		c.Table = &flakyTable{
+			table:  &table,
+			random: rand.New(rand.NewPCG(seed, 2+i)),
+		}
+		c.Patience = 100 * time.Millisecond
+		b.group.Go(func() error { return c.Run(ctx) })
+		b.forwarders = append(b.forwarders, &forwarder.Forwarder{
+			Observer: view,
+			Claimer:  c,
+			Budget:   &streamer.Budget{},
+			Log:      log,
+		})
+	}
+	return b
+}
+
+// outcome is what the caller of one order learned.
+type outcome struct {
+	order string
+	ran   classifier.Ran
+}
+
+func (b *bench) place(ctx context.Context, instance, key int, request string) outcome {
+	a, err := b.forwarders[instance].Forward(ctx, forwarder.Call{
+		Request:  identifier.Request(request),
+		Service:  "orders",
+		Method:   http.MethodPost,
+		Path:     "/orders",
+		Header:   http.Header{"Idempotency-Key": {fmt.Sprint(key)}},
+		Body:     fmt.Appendf(nil, "plate %d", key),
+		Progress: 300 * time.Millisecond,
+		Hash:     fmt.Sprint(key),
+		Claim: claimer.Key{
+			Customer: "council",
+			Service:  "orders",
+			Key:      fmt.Sprint(key),
+		},
+		Allowed: func() error { return nil },
+	})
+	if err != nil {
+		return outcome{ran: classifier.AnswerOf(classifier.Classify(err).Kind).Ran}
+	}
+	var o recorder.Order
+	if err := json.NewDecoder(bytes.NewReader(a.Body)).Decode(&o); err != nil {
+		return outcome{ran: classifier.RanUnknown}
+	}
+	return outcome{
+		order: o.ID,
+		ran:   classifier.RanYes,
+	}
+}
+
+// runs returns how often the service ran each body and each request.
+func (b *bench) runs(t *testing.T) map[string]int {
+	t.Helper()
+	runs := make(map[string]int)
+	for range 100 {
+		res, err := http.Get(b.service.URL + "/runs")
+		if err != nil {
+			continue
+		}
+		err = json.NewDecoder(res.Body).Decode(&runs)
+		res.Body.Close()
+		if err == nil {
+			return runs
+		}
+	}
+	t.Fatal("the service does not tell its runs")
+	return nil
+}
+
+// TestHistory sends orders for the same keys at several instances under lost
+// table answers, dropped connections and silent ones. No order runs twice, every
+// "ran: no" is true, and each key's answers are those of a single execution.
+func TestHistory(t *testing.T) {
+	b := newBench(t)
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	refused := make(map[string]bool)
+	begun := time.Now()
+	var group errgroup.Group
+	for w := range workers {
+		group.Go(func() error {
+			random := rand.New(rand.NewPCG(seed, uint64(100+w)))
+			for n := range requests / workers {
+				key := random.IntN(keys)
+				request := fmt.Sprintf("%d-%d", w, n)
+				called := time.Since(begun)
+				got := b.place(t.Context(), random.IntN(instances), key, request)
+				returned := time.Since(begun)
+				mu.Lock()
+				history = append(history, porcupine.Operation{
+					ClientId: w,
+					Input:    key,
+					Output:   got,
+					Call:     called.Nanoseconds(),
+					Return:   returned.Nanoseconds(),
+				})
+				if got.ran == classifier.RanNo {
+					refused[request] = true
+				}
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	b.stop()
+	if err := b.group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	checkRuns(t, b.runs(t), refused)
+	if !porcupine.CheckOperations(model(), history) {
+		t.Error("the answers are not those of single executions")
+	}
+	t.Logf("%d requests, %d refused with ran no", len(history), len(refused))
+}
+
+func checkRuns(t *testing.T, runs map[string]int, refused map[string]bool) {
+	t.Helper()
+	for body, n := range runs {
+		if strings.HasPrefix(body, "plate ") && n > 1 {
+			t.Errorf("%s ran %d times, want at most once", body, n)
+		}
+	}
+	for request := range refused {
+		if n := runs["request:"+request]; n != 0 {
+			t.Errorf("request %s was refused with ran no and ran %d times", request, n)
+		}
+	}
+	if len(refused) == 0 {
+		t.Error("got no refusal with ran no, want some")
+	}
+}
+
+// model is one key: it has not run, has run without a known answer, or has run
+// with an answer that never changes.
+func model() porcupine.Model {
+	const notRun, unknown = "", "?"
+	nondeterministic := porcupine.NondeterministicModel{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			byKey := make(map[int][]porcupine.Operation)
+			for _, o := range history {
+				byKey[o.Input.(int)] = append(byKey[o.Input.(int)], o)
+			}
+			var parts [][]porcupine.Operation
+			for _, part := range byKey {
+				parts = append(parts, part)
+			}
+			return parts
+		},
+		Init: func() []any { return []any{notRun} },
+		Step: func(state, _, output any) []any {
+			got := output.(outcome)
+			switch {
+			case got.ran == classifier.RanNo:
+				return []any{state}
+			case got.ran == classifier.RanUnknown && state == notRun:
+				return []any{notRun, unknown}
+			case got.ran == classifier.RanUnknown:
+				return []any{state}
+			case state == notRun || state == unknown || state == got.order:
+				return []any{got.order}
+			}
+			return nil
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+	return nondeterministic.ToModel()
+}
--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -246,7 +246,7 @@
 table-interval = "1s"
 [peer]
 interval = "100ms"
-term = "2s"
+term = "1s"
 silence = "1s"
 [operator]
 key-sha256 = %q
--- a/router/spreader/acceptance.go
+++ b/router/spreader/acceptance.go
@@ -12,14 +12,20 @@
 const termMargin = 20 // one part in so many
 
 // Acceptance follows one revision until it is in force at every instance that
-// may still decide. It is accepted when every known instance has answered with
-// it, or all but one have and a term has passed since: that one has heard from
-// none of the others in that time, or it would have the revision too, so it no
-// longer decides. Two or more that are silent may be confirming each other.
+// may still decide. It is accepted once a term has passed since the commit and
+// every known instance has answered with it. The term is for a newcomer that
+// read the table just before the commit and that no one knows yet: by then it
+// has read the table again, has made itself known to a peer, or decides no more.
+//
+// One instance may be silent: when a term has passed since all others had the
+// revision, it has heard from none of them in that time, or it would have the
+// revision too, so it no longer decides. Two or more that are silent may be
+// confirming each other.
 type Acceptance struct {
 	Revision identifier.Revision
 	Term     time.Duration
-	// Since is when the asking instance had the revision itself.
+	// Since is a time after the commit at which the asking instance had the
+	// revision itself.
 	Since time.Time
 
 	known   map[string]*messenger.Member
@@ -95,10 +101,11 @@
 func (a *Acceptance) Accepted(now time.Time) (bool, []Waiting) {
 	unreached := a.Unreached()
 	term := a.Term + a.Term/termMargin
-	if len(unreached) == 0 {
+	settled := now.After(a.Since.Add(term))
+	if len(unreached) == 0 && settled {
 		return true, nil
 	}
-	if len(unreached) == 1 && now.After(later(a.lastHad, a.Since).Add(term)) {
+	if len(unreached) == 1 && settled && now.After(a.lastHad.Add(term)) {
 		return true, nil
 	}
 	waiting := make([]Waiting, 0, len(unreached))
@@ -110,10 +117,3 @@
 	}
 	return false, waiting
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/router/spreader/members.go
+++ b/router/spreader/members.go
@@ -83,6 +83,7 @@
 // member that it lacks, and that has been silent for long, is dropped.
 func (s *State) Listed(now time.Time, listed []*messenger.Member) {
 	s.prepare()
+	s.listed = now
 	present := make(map[string]bool)
 	for _, m := range listed {
 		present[m.GetInstance()] = true
@@ -104,6 +105,13 @@
 	}
 }
 
+// Oversees reports whether the instance knows every other that may decide: it
+// has read the platform's list after its own establishment time, by when an
+// instance that is older than it, and so may hold an older revision, is listed.
+func (s *State) Oversees() bool {
+	return s.listed.Sub(s.Born) >= establishTerms*s.Term
+}
+
 // Members returns the other instances that are not gone, by name.
 func (s *State) Members() []*messenger.Member {
 	out := make([]*messenger.Member, 0, len(s.members))
--- a/router/spreader/spreader.go
+++ b/router/spreader/spreader.go
@@ -51,6 +51,8 @@
 	members   map[string]*member
 	marks     map[identifier.Life]time.Time
 	edits     uint64
+	// listed is when the platform's list was last read.
+	listed time.Time
 }
 
 // Edits counts the changes of configuration, members and marks, so that a
