Replay traces through the scheduling policy and its baselines

Cause: the policy had never been measured.

Change: replayer/ replays seeded traces through the pool owner's scheduler, through nine entries that schedule alone, and through four plain queues, with fake endpoints in fake time, and prints all measures side by side. The pool's capacity estimate now counts a stream in every stage of its chain: it was too high by the number of stages.

--- /dev/null
+++ b/replayer/tracer/tracer.go
@@ -0,0 +1,126 @@
+// Package tracer generates, writes and reads request traces. A trace is plain
+// text, one request a line:
+//
+//	at-ms customer tier rank prompt-tokens output-tokens prefix
+//
+// Lines are sorted by time; prefix 0 means that the prompt shares no start.
+package tracer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"heatherhold.dev/core/identifier"
+)
+
+// Request is one line of a trace.
+type Request struct {
+	At       time.Duration
+	Customer identifier.Customer
+	Tier     identifier.Tier
+	Rank     identifier.Rank
+	Prompt   identifier.Tokens
+	Output   identifier.Tokens
+	Prefix   uint64
+}
+
+// Flow is a stream of requests of one customer in one rank.
+type Flow struct {
+	Customer identifier.Customer
+	Tier     identifier.Tier
+	Rank     identifier.Rank
+	// Rate is the mean number of requests a second.
+	Rate float64
+	From time.Duration
+	To   time.Duration
+	// Output is the mean length of an answer.
+	Output float64
+	// Prefixes is how many prompt prefixes the flow draws from, by Zipf's law;
+	// 0 means that no prompts share a start.
+	Prefixes int
+}
+
+const (
+	meanPrompt = 200.0 // tokens
+	longest    = 1000  // tokens
+	skew       = 1.2
+)
+
+// Generate returns the requests of flows, the same for the same seed.
+func Generate(seed uint64, flows []Flow) []Request {
+	var out []Request
+	for i, f := range flows {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		out = append(out, f.generate(random)...)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
+	return out
+}
+
+func (f Flow) generate(random *rand.Rand) []Request {
+	var zipf *rand.Zipf
+	if f.Prefixes > 0 {
+		zipf = rand.NewZipf(random, skew, 1, uint64(f.Prefixes-1))
+	}
+	var out []Request
+	at := f.From.Seconds()
+	for {
+		at += random.ExpFloat64() / f.Rate
+		if at >= f.To.Seconds() {
+			return out
+		}
+		r := Request{
+			At:       time.Duration(at * float64(time.Second)).Truncate(time.Millisecond),
+			Customer: f.Customer,
+			Tier:     f.Tier,
+			Rank:     f.Rank,
+			Prompt:   length(random, meanPrompt),
+			Output:   length(random, f.Output),
+		}
+		if zipf != nil {
+			r.Prefix = zipf.Uint64() + 1
+		}
+		out = append(out, r)
+	}
+}
+
+// length draws a length around mean with a long tail.
+func length(random *rand.Rand, mean float64) identifier.Tokens {
+	const sigma = 0.8
+	n := mean * math.Exp(sigma*random.NormFloat64()-sigma*sigma/2)
+	return identifier.Tokens(math.Min(math.Max(n, 1), longest))
+}
+
+// Write writes a trace.
+func Write(w io.Writer, trace []Request) error {
+	b := bufio.NewWriter(w)
+	for _, r := range trace {
+		_, err := fmt.Fprintln(b, r.At.Milliseconds(), r.Customer, r.Tier, r.Rank, r.Prompt, r.Output, r.Prefix)
+		if err != nil {
+			return err
+		}
+	}
+	return b.Flush()
+}
+
+// Read reads a trace; an error names the line.
+func Read(r io.Reader) ([]Request, error) {
+	var out []Request
+	lines := bufio.NewScanner(r)
+	for n := 1; lines.Scan(); n++ {
+		var q Request
+		var ms int64
+		_, err := fmt.Sscan(lines.Text(), &ms, &q.Customer, &q.Tier, &q.Rank, &q.Prompt, &q.Output, &q.Prefix)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: want at-ms customer tier rank prompt output prefix: %w", n, err)
+		}
+		q.At = time.Duration(ms) * time.Millisecond
+		out = append(out, q)
+	}
+	return out, lines.Err()
+}
--- a/router/planner/bound.go
+++ b/router/planner/bound.go
@@ -6,30 +6,42 @@
 	"heatherhold.dev/core/identifier"
 )
 
-// Bound returns the most tokens a second that runners can make together: the
-// least, over all layers, of what the holders of that layer can run. It is an
-// upper bound, reached by the best split when links cost nothing.
-func Bound(runners []Runner, layers identifier.Layer, version identifier.Version) float64 {
-	least := -1.0
+// Capacity estimates how many tokens a second runners make together with all
+// slots in use: the streams that fit, over the mean time of a token through all
+// layers. A stream holds a slot of every stage, so the layer with the fewest
+// slots says how many fit. It is 0 if a layer has no holder.
+func Capacity(runners []Runner, layers identifier.Layer, version identifier.Version) float64 {
+	streams := -1
+	token := time.Duration(0)
 	for l := range layers {
-		rate := 0.0
-		for i := range runners {
-			r := &runners[i]
-			if r.Version == version && r.From <= l && l < r.To {
-				rate += Rate(r)
-			}
+		slots, each := layer(runners, l, version)
+		if slots == 0 {
+			return 0
 		}
-		if least < 0 || rate < least {
-			least = rate
+		token += each
+		if streams < 0 || slots < streams {
+			streams = slots
 		}
 	}
-	return max(least, 0)
+	if layers == 0 {
+		return 0
+	}
+	return float64(streams) / max(token, time.Microsecond).Seconds()
 }
 
-// Rate returns how many tokens a second r makes with all slots in use.
-func Rate(r *Runner) float64 {
-	if r.TokenTime <= 0 {
-		return float64(r.Slots) * float64(time.Second/time.Microsecond)
+// layer returns the slots of a layer's holders and their mean time for it.
+func layer(runners []Runner, l identifier.Layer, version identifier.Version) (int, time.Duration) {
+	slots := 0
+	sum := time.Duration(0)
+	for i := range runners {
+		r := &runners[i]
+		if r.Version == version && r.From <= l && l < r.To {
+			slots += r.Slots
+			sum += time.Duration(r.Slots) * r.TokenTime / time.Duration(r.To-r.From)
+		}
+	}
+	if slots == 0 {
+		return 0, 0
 	}
-	return float64(r.Slots) / r.TokenTime.Seconds()
+	return slots, sum / time.Duration(slots)
 }
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -117,13 +117,13 @@
 
 // covered reports whether some chain covers every layer, busy or not.
 func (p *Pool) covered() bool {
-	return planner.Bound(p.runners, p.policy.Layers, p.policy.Version) > 0
+	return planner.Capacity(p.runners, p.policy.Layers, p.policy.Version) > 0
 }
 
 // estimate predicts how long a request would wait behind the work that goes
 // before it, at the rate that the pool can make.
 func (p *Pool) estimate(now time.Time, c *class, e *entry) time.Duration {
-	rate := planner.Bound(p.runners, p.policy.Layers, p.policy.Version)
+	rate := planner.Capacity(p.runners, p.policy.Layers, p.policy.Version)
 	p.effective(now)
 	if rate <= 0 || !p.full() {
 		return 0
