Ask chains back for urgent work only within its share, and wait for fast ones

Urgent requests also took slow chains while fast ones were about to be free.

Ruled out: the guaranteed shares themselves; a class that is owed does go first.

Change: chains are asked back only while the urgent class is within its guaranteed share, and only chains that meet its target; a request of the most urgent rank waits up to half of its longest wait for a chain that meets it.

--- a/router/scheduler/preempt.go
+++ b/router/scheduler/preempt.go
@@ -10,10 +10,11 @@
 const maxRevoked = 8
 
 // preempt asks a chain back from the least urgent work in flight when a request
-// of c would else miss its start. Work of the same or a more urgent rank, and
-// of a class that would fall below its guarantee, is left alone.
+// of c, the most urgent paying work, finds none, and c is within its share.
+// Work of the same rank, and of a class that is itself below its guarantee, is
+// left alone.
 func (p *Pool) preempt(now time.Time, c *class) {
-	if c.key.tier != identifier.Paying || c.order != p.mostUrgent() {
+	if c.key.tier != identifier.Paying || c.order != p.mostUrgent() || !p.owes(now, c) {
 		return
 	}
 	pending := 0
@@ -47,7 +48,7 @@
 func (p *Pool) victim(now time.Time, c *class) *flight {
 	var best *flight
 	for _, f := range p.flights {
-		if f.revoked || !c.before(f.class) || f.class.order == c.order || p.owes(now, f.class) {
+		if f.revoked || !c.before(f.class) || f.class.order == c.order || p.owes(now, f.class) || !p.meets(c, f.chain) {
 			continue
 		}
 		if best == nil || better(f, best) {
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -110,6 +110,27 @@
 	return chain
 }
 
+// meets reports whether a chain, with all slots in use, makes tokens at the
+// target of class c.
+func (p *Pool) meets(c *class, chain []identifier.Stage) bool {
+	target := p.policy.Ranks[c.key.rank].BetweenTokens.Std()
+	total := time.Duration(0)
+	links := slowed{pool: p}
+	for i, s := range chain {
+		r := p.runner(s.Life)
+		if r == nil {
+			return false
+		}
+		total += r.TokenTime
+		if i > 0 {
+			if before := p.runner(chain[i-1].Life); before != nil {
+				total += links.Delay(before.DataCentre, r.DataCentre)
+			}
+		}
+	}
+	return total <= target
+}
+
 // full reports whether no chain has a free slot for a request that avoids nothing.
 func (p *Pool) full() bool {
 	return p.plan(Ask{}) == nil
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -336,7 +336,7 @@
 			e.ask.Avoid = nil
 		}
 		chain := p.plan(e.ask)
-		if chain == nil {
+		if chain == nil || p.tooSlow(now, c, e, chain) {
 			continue
 		}
 		c.remove(e)
@@ -352,6 +352,19 @@
 	return false
 }
 
+// patientPart is the part of its longest wait for which a request of the most
+// urgent work waits for a chain that meets its target, where a slow one is free.
+const patientPart = 0.5
+
+// tooSlow reports whether a request had better wait for a faster chain.
+func (p *Pool) tooSlow(now time.Time, c *class, e *entry, chain []identifier.Stage) bool {
+	if c.order != p.mostUrgent() || e.ask.Resumed || p.meets(c, chain) {
+		return false
+	}
+	patience := time.Duration(patientPart * float64(p.policy.Ranks[c.key.rank].MaxWait.Std()))
+	return now.Sub(e.since) < patience
+}
+
 func (p *Pool) start(now time.Time, c *class, e *entry, chain []identifier.Stage) {
 	c.charge(e.ask.Customer, e.ask.Weight, e.cost)
 	c.add(now, e.cost)
