Ask chains back only for urgent work that has waited

Cause: at saturation every urgent arrival asked a chain back, though one comes free every 14 ms by itself; each costs a prompt computed again.

Change: a request asks for a chain back after a quarter of its longest wait. The replayer no longer takes a stream off two dead endpoints twice, and counts the tokens of streams that still run at the end, for all ways alike.

--- a/replayer/measures.go
+++ b/replayer/comparer/measures.go
@@ -1,4 +1,4 @@
-package main
+package comparer
 
 import (
 	"sort"
@@ -8,8 +8,8 @@
 	"heatherhold.dev/replayer/simulator"
 )
 
-// measures is what one replay showed, side by side with the others.
-type measures struct {
+// Measures is what one replay showed, side by side with the others.
+type Measures struct {
 	Scenario string
 	Way      string
 	// Throughput is the tokens made over the fleet's bound, after the warm-up.
@@ -21,8 +21,12 @@
 	Share map[identifier.Rank]float64
 	// Paying is the tokens a second of paying work.
 	Paying float64
-	// Refused is the part of the requests that were refused.
-	Refused float64
+	// Refused is the part of the requests that were refused, and UrgentRefused
+	// that of the urgent ones.
+	Refused       float64
+	UrgentRefused float64
+	// Got is the tokens that each customer got whole.
+	Got map[identifier.Customer]float64
 	// Jain is the index over the customers' parts of what they asked for.
 	Jain float64
 	// Worst is the least part that a customer got of what it asked for.
@@ -38,22 +42,23 @@
 	Made []float64
 }
 
-func measure(s scenario, w way) measures {
+// Measure replays a scenario through one way of scheduling.
+func Measure(s Scenario, w Way) Measures {
 	links := newLinks()
 	run := simulator.Run{
-		Policy:   w.make(newLinks()),
+		Policy:   w.Make(newLinks()),
 		Runners:  fleet(),
 		Links:    links,
-		Trace:    trace(s),
-		Faults:   s.faults,
+		Trace:    s.Trace(),
+		Faults:   s.Faults,
 		Length:   length,
-		Lag:      s.lag,
-		Misjudge: s.wrong,
+		Lag:      s.Lag,
+		Misjudge: s.Wrong,
 	}
 	result := run.Do()
-	m := measures{
-		Scenario: s.name,
-		Way:      w.name,
+	m := Measures{
+		Scenario: s.Name,
+		Way:      w.Name,
 		Share:    make(map[identifier.Rank]float64),
 		Made:     result.Made,
 		Sends:    float64(result.Sends) / float64(max(result.Requests, 1)),
@@ -63,7 +68,7 @@
 	m.shares(result)
 	m.fairness(s, result)
 	m.Throughput = rate(result.Made, warm, length) / simulator.Bound(fleet(), promptRatio(result))
-	if len(s.faults) > 0 {
+	if len(s.Faults) > 0 {
 		m.Recovery = recovery(s, result)
 	}
 	return m
@@ -81,6 +86,11 @@
 	return prompt / max(output, 1)
 }
 
+// Rate returns the mean tokens a second after the warm-up.
+func (m *Measures) Rate() float64 {
+	return rate(m.Made, warm, length)
+}
+
 // rate returns the mean tokens a second between two times.
 func rate(made []float64, from, to time.Duration) float64 {
 	sum := 0.0
@@ -90,7 +100,7 @@
 	return sum / (to - from).Seconds()
 }
 
-func (m *measures) latencies(r simulator.Result) {
+func (m *Measures) latencies(r simulator.Result) {
 	var first, gap []time.Duration
 	for _, f := range r.Finished {
 		if f.Rank == "urgent" && !f.Refused {
@@ -111,11 +121,17 @@
 	return d[len(d)*95/100]
 }
 
-func (m *measures) shares(r simulator.Result) {
-	total, refused := 0.0, 0
+func (m *Measures) shares(r simulator.Result) {
+	total, refused, urgent, urgentRefused := 0.0, 0, 0, 0
 	for _, f := range r.Finished {
+		if f.Rank == "urgent" {
+			urgent++
+		}
 		if f.Refused {
 			refused++
+			if f.Rank == "urgent" {
+				urgentRefused++
+			}
 			continue
 		}
 		if f.End < warm {
@@ -131,13 +147,14 @@
 		m.Share[rank] /= max(total, 1)
 	}
 	m.Refused = float64(refused) / float64(max(len(r.Finished), 1))
+	m.UrgentRefused = float64(urgentRefused) / float64(max(urgent, 1))
 }
 
 // fairness compares what customers got with the lesser of what they asked for
 // and an equal part of all that was made.
-func (m *measures) fairness(s scenario, r simulator.Result) {
+func (m *Measures) fairness(s Scenario, r simulator.Result) {
 	asked := make(map[identifier.Customer]float64)
-	for _, q := range trace(s) {
+	for _, q := range s.Trace() {
 		asked[q.Customer] += float64(q.Output)
 	}
 	got := make(map[identifier.Customer]float64)
@@ -148,6 +165,7 @@
 			total += float64(f.Output)
 		}
 	}
+	m.Got = got
 	fair := fairParts(asked, total)
 	sum, squares := 0.0, 0.0
 	m.Worst = 1
@@ -190,10 +208,10 @@
 const window = time.Second
 
 // recovery returns the time from the last fault until the rate is back.
-func recovery(s scenario, r simulator.Result) time.Duration {
+func recovery(s Scenario, r simulator.Result) time.Duration {
 	runners := fleet()
 	last := time.Duration(0)
-	for _, f := range s.faults {
+	for _, f := range s.Faults {
 		last = max(last, f.At)
 		for _, e := range f.Kill {
 			for i := range runners {
--- a/replayer/plot.go
+++ b/replayer/comparer/plot.go
@@ -1,4 +1,4 @@
-package main
+package comparer
 
 import (
 	"time"
@@ -14,7 +14,7 @@
 const plotted = "data centre cut"
 
 // draw draws the tokens a second of one scenario over time, a line for each way.
-func draw(path string, all []measures) error {
+func draw(path string, all []Measures) error {
 	p := plot.New()
 	p.Title.Text = plotted + " at 30 s"
 	p.X.Label.Text = "seconds"
--- a/replayer/scenarios.go
+++ b/replayer/comparer/scenarios.go
@@ -1,4 +1,4 @@
-package main
+package comparer
 
 import (
 	"fmt"
@@ -21,17 +21,18 @@
 	warm    = 10 * time.Second
 	slots   = 16
 	entries = 9
-	// firstTarget and gapTarget are the urgent rank's targets.
-	firstTarget = 430 * time.Millisecond
-	gapTarget   = 27 * time.Millisecond
+	// FirstTarget is the urgent rank's target for the first token.
+	FirstTarget = 430 * time.Millisecond
+	// GapTarget is the one between two tokens.
+	GapTarget = 27 * time.Millisecond
 )
 
-// ranks are declared as in the quick start.
-var ranks = map[identifier.Rank]declarer.Rank{
+// Ranks are declared as in the quick start.
+var Ranks = map[identifier.Rank]declarer.Rank{
 	"urgent": {
 		Order:           0,
-		FirstToken:      identifier.Duration(firstTarget),
-		BetweenTokens:   identifier.Duration(gapTarget),
+		FirstToken:      identifier.Duration(FirstTarget),
+		BetweenTokens:   identifier.Duration(GapTarget),
 		GuaranteedShare: 0.3,
 		QueueLimit:      200,
 		MaxWait:         identifier.Duration(300 * time.Millisecond),
@@ -76,10 +77,10 @@
 	return l
 }
 
-// way is one way of scheduling.
-type way struct {
-	name string
-	make func(links planner.Links) simulator.Policy
+// Way is one way of scheduling.
+type Way struct {
+	Name string
+	Make func(links planner.Links) simulator.Policy
 }
 
 func newPool(links planner.Links) *scheduler.Pool {
@@ -87,7 +88,7 @@
 	p.Configure(scheduler.Policy{
 		Layers:  layers,
 		Version: "v1",
-		Ranks:   ranks,
+		Ranks:   Ranks,
 		Links:   links,
 	})
 	return p
@@ -113,22 +114,40 @@
 	return a
 }
 
-var ways = []way{
-	{name: "owner", make: func(links planner.Links) simulator.Policy { return newPool(links) }},
-	{name: "entries alone", make: alone},
-	{name: "drr, planned", make: queue(baseliner.Planned, true)},
-	{name: "fifo, planned", make: queue(baseliner.Planned, false)},
-	{name: "fifo, least", make: queue(baseliner.LeastRequests, false)},
-	{name: "fifo, round robin", make: queue(baseliner.RoundRobin, false)},
+// Ways lists the real way of scheduling, first, and its baselines.
+var Ways = []Way{
+	{Name: "owner", Make: func(links planner.Links) simulator.Policy { return newPool(links) }},
+	{Name: "entries alone", Make: alone},
+	{Name: "drr, planned", Make: queue(baseliner.Planned, true)},
+	{Name: "fifo, planned", Make: queue(baseliner.Planned, false)},
+	{Name: "fifo, least", Make: queue(baseliner.LeastRequests, false)},
+	{Name: "fifo, round robin", Make: queue(baseliner.RoundRobin, false)},
 }
 
-// scenario is a trace with faults.
-type scenario struct {
-	name   string
-	flows  []tracer.Flow
-	faults []simulator.Fault
-	lag    time.Duration
-	wrong  float64
+// Scenario is a trace with faults.
+type Scenario struct {
+	Name   string
+	Flows  []tracer.Flow
+	Faults []simulator.Fault
+	// Lag is how old load reports are.
+	Lag time.Duration
+	// Wrong multiplies the answers' lengths that the policy is told.
+	Wrong float64
+}
+
+// Trace returns the scenario's requests.
+func (s Scenario) Trace() []tracer.Request {
+	return tracer.Generate(seed, s.Flows)
+}
+
+// Find returns the scenario of a name.
+func Find(name string) (Scenario, bool) {
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
 }
 
 func flow(customer string, tier identifier.Tier, rank identifier.Rank, rate float64) tracer.Flow {
@@ -190,24 +209,25 @@
 // faultAt is when faults happen.
 const faultAt = 30 * time.Second
 
-func scenarios() []scenario {
+// Scenarios returns every scenario, in the order of the table.
+func Scenarios() []Scenario {
 	slow := [2]identifier.DataCentre{"gijon", "torrelavega"}
-	return []scenario{
-		{name: "usual", flows: usual()},
-		{name: "saturated", flows: saturated()},
-		{name: "batch flood", flows: append(usual(), flow("night", identifier.Paying, "batch", 200))},
-		{name: "urgent flood", flows: append(usual(), flow("rush", identifier.Paying, "urgent", 160))},
-		{name: "free flood", flows: append(usual(), flow("crowd", identifier.Free, "batch", 200))},
-		{name: "small and large", flows: smallAndLarge()},
-		{name: "stage dies", flows: saturated(), faults: []simulator.Fault{{
+	return []Scenario{
+		{Name: "usual", Flows: usual()},
+		{Name: "saturated", Flows: saturated()},
+		{Name: "batch flood", Flows: append(usual(), flow("night", identifier.Paying, "batch", 200))},
+		{Name: "urgent flood", Flows: append(usual(), flow("rush", identifier.Paying, "urgent", 160))},
+		{Name: "free flood", Flows: append(usual(), flow("crowd", identifier.Free, "batch", 200))},
+		{Name: "small and large", Flows: smallAndLarge()},
+		{Name: "stage dies", Flows: saturated(), Faults: []simulator.Fault{{
 			At:   faultAt,
 			Kill: []identifier.Endpoint{"e1-00"},
 		}}},
-		{name: "data centre cut", flows: saturated(), faults: []simulator.Fault{{
+		{Name: "data centre cut", Flows: saturated(), Faults: []simulator.Fault{{
 			At:   faultAt,
 			Kill: deadCentre(),
 		}}},
-		{name: "link degrades twice", flows: saturated(), faults: []simulator.Fault{
+		{Name: "link degrades twice", Flows: saturated(), Faults: []simulator.Fault{
 			{
 				At:        faultAt,
 				Slow:      slow,
@@ -219,8 +239,8 @@
 				SlowDelay: 50 * time.Millisecond,
 			},
 		}},
-		{name: "reports 2 s late", flows: saturated(), lag: 2 * time.Second},
-		{name: "lengths wrong tenfold", flows: saturated(), wrong: 10},
-		{name: "shared prefixes", flows: prefixed()},
+		{Name: "reports 2 s late", Flows: saturated(), Lag: 2 * time.Second},
+		{Name: "lengths wrong tenfold", Flows: saturated(), Wrong: 10},
+		{Name: "shared prefixes", Flows: prefixed()},
 	}
 }
--- a/replayer/simulator/simulator.go
+++ b/replayer/simulator/simulator.go
@@ -174,6 +174,11 @@
 		r.now = e.at
 		e.do()
 	}
+	for _, s := range r.streams {
+		if s.chain != nil {
+			r.made(s, end)
+		}
+	}
 	return r.result
 }
 
--- a/replayer/simulator/stream.go
+++ b/replayer/simulator/stream.go
@@ -230,6 +230,7 @@
 		s := r.streams[id]
 		s.done += r.made(s, r.now)
 		r.leave(s)
+		s.chain = nil
 		life := identifier.Life{
 			Endpoint:    e,
 			Incarnation: r.runner(e).Incarnation,
--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -180,7 +180,7 @@
 
 // startEngine starts an engine described as "name:from-to" or
 // "name:from-to@version".
-func (s *system) startEngine(description string) *process {
+func (s *system) startEngine(description string) {
 	s.t.Helper()
 	name, layout, _ := strings.Cut(description, ":")
 	layout, version, ok := strings.Cut(layout, "@")
@@ -193,7 +193,6 @@
 		"--listen", address, "--platform", s.url(), "--token-micros", "500", "--prefill-micros", "1")
 	p.address = address
 	s.engines[name] = p
-	return p
 }
 
 func (s *system) startService(name string, flags ...string) *process {
--- a/router/scheduler/preempt.go
+++ b/router/scheduler/preempt.go
@@ -23,7 +23,7 @@
 			pending++
 		}
 	}
-	for range min(c.waiting, maxRevoked) - pending {
+	for range min(p.pressed(now, c), maxRevoked) - pending {
 		f := p.victim(now, c)
 		if f == nil {
 			return
@@ -36,6 +36,25 @@
 	}
 }
 
+// calmPart is the part of its longest wait for which a request waits for a chain
+// that comes free by itself.
+const calmPart = 0.25
+
+// pressed counts the requests of c that have waited for so long that a chain is
+// asked back for them.
+func (p *Pool) pressed(now time.Time, c *class) int {
+	calm := time.Duration(calmPart * float64(p.policy.Ranks[c.key.rank].MaxWait.Std()))
+	n := 0
+	for _, u := range c.customers {
+		for _, e := range u.queue {
+			if now.Sub(e.since) >= calm {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (p *Pool) mostUrgent() int {
 	least := int(^uint(0) >> 1)
 	for _, r := range p.policy.Ranks {
--- a/router/streamer/streamer_test.go
+++ b/router/streamer/streamer_test.go
@@ -23,6 +23,7 @@
 const (
 	layers = 6
 	tokens = 8
+	prompt = "prompt"
 )
 
 // fleet is some engines, each of which holds the whole model.
@@ -82,7 +83,7 @@
 
 func (quiet) Late(context.Context, int64, time.Duration) {}
 
-func (f *fleet) run(t *testing.T, prompt string) (string, streamer.Result, error) {
+func (f *fleet) run(t *testing.T) (string, streamer.Result, error) {
 	t.Helper()
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
@@ -115,7 +116,7 @@
 	return text, result, err
 }
 
-func want(prompt string) string {
+func want() string {
 	return strings.Join(generator.Text(prompt, "v1", layers, tokens), "")
 }
 
@@ -134,9 +135,9 @@
 				f := newFleet(t, 3)
 				f.engines[0].SetFaults(faults)
 				f.engines[1].SetFaults(faults)
-				text, result, err := f.run(t, "prompt")
-				if err != nil || text != want("prompt") {
-					t.Errorf("got %q, %+v, %v; want %q", text, result, err, want("prompt"))
+				text, result, err := f.run(t)
+				if err != nil || text != want() {
+					t.Errorf("got %q, %+v, %v; want %q", text, result, err, want())
 				}
 			})
 		}
@@ -149,9 +150,9 @@
 	f := newFleet(t, 3)
 	f.engines[0].SetFaults(generator.Faults{OtherVersion: true})
 	f.engines[1].SetFaults(generator.Faults{SkipLayer: true})
-	text, _, err := f.run(t, "prompt")
-	if err != nil || text != want("prompt") {
-		t.Errorf("got %q, %v; want %q", text, err, want("prompt"))
+	text, _, err := f.run(t)
+	if err != nil || text != want() {
+		t.Errorf("got %q, %v; want %q", text, err, want())
 	}
 }
 
@@ -161,7 +162,7 @@
 	for at := int64(1); at <= tokens; at++ {
 		f := newFleet(t, 1)
 		f.engines[0].SetFaults(generator.Faults{EndEarlyAt: at})
-		text, result, err := f.run(t, "prompt")
+		text, result, err := f.run(t)
 		var kind *classifier.Error
 		if !errors.As(err, &kind) || classifier.AnswerOf(kind.Kind).Ran == classifier.RanNo {
 			t.Errorf("at %d: got %q, %+v, %v; want an error that says that it may have run", at, text, result, err)
@@ -178,7 +179,7 @@
 	for _, e := range f.engines {
 		e.SetFaults(generator.Faults{Busy: true})
 	}
-	_, _, err := f.run(t, "prompt")
+	_, _, err := f.run(t)
 	var kind *classifier.Error
 	if !errors.As(err, &kind) || classifier.AnswerOf(kind.Kind).Ran != classifier.RanNo {
 		t.Errorf("got %v, want an error that says that it did not run", err)
@@ -189,7 +190,7 @@
 func TestGapInChain(t *testing.T) {
 	f := newFleet(t, 1)
 	f.chains[0][0].To = layers - 1
-	text, _, err := f.run(t, "prompt")
+	text, _, err := f.run(t)
 	if err == nil || text != "" {
 		t.Errorf("got %q, %v; want an error and no token", text, err)
 	}
