--- a/core/decoder/decoder.go
+++ b/core/decoder/decoder.go
@@ -6,6 +6,7 @@
 	"bytes"
 	stderrors "errors"
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -30,16 +31,20 @@
 
 // Strict reads data into v and refuses what v does not name.
 func Strict(file string, data []byte, v any) error {
-	d := toml.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	err := d.Decode(v)
+	err := strict(data, v)
 	if err == nil {
 		return nil
 	}
-	return locate(file, err)
+	return locate(file, data, v, err)
+}
+
+func strict(data []byte, v any) error {
+	d := toml.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	return d.Decode(v)
 }
 
-func locate(file string, err error) error {
+func locate(file string, data []byte, v any, err error) error {
 	var missing *toml.StrictMissingError
 	if stderrors.As(err, &missing) && len(missing.Errors) > 0 {
 		return at(file, &missing.Errors[0], "unknown key")
@@ -48,11 +53,32 @@
 	if stderrors.As(err, &decode) {
 		return at(file, decode, strings.TrimPrefix(decode.Error(), "toml: "))
 	}
-	return &Error{
+	return search(file, data, v, err)
+}
+
+// search finds the place of an error that comes without one: the end of the
+// shortest part of the file, cut after a key's line, that has the same error.
+func search(file string, data []byte, v any, err error) error {
+	found := &Error{
 		File:   file,
 		Line:   1,
 		Detail: err.Error(),
 	}
+	starts := bytes.SplitAfter(data, []byte("\n"))
+	lines := Lines(data)
+	best := len(starts) + 1
+	for key, line := range lines {
+		if line >= best {
+			continue
+		}
+		part := bytes.Join(starts[:line], nil)
+		again := strict(part, reflect.New(reflect.TypeOf(v).Elem()).Interface())
+		if again != nil && again.Error() == err.Error() {
+			best = line
+			found.Line, found.Key = line, key
+		}
+	}
+	return found
 }
 
 func at(file string, err *toml.DecodeError, detail string) error {
