Tell peers of members that are news, and of a few others

Cause: at 1,700 members an exchange told of 32 of them each time: 3.3 KB, which at 3.3 exchanges a second and both directions is above 19 KB/s for a node.

Change: what is new of a member is told for 30 s, and four others at random.

--- /dev/null
+++ b/router/loader/loader_test.go
@@ -0,0 +1,104 @@
+package loader_test
+
+import (
+	"encoding"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"heatherhold.dev/core/declarer"
+	"heatherhold.dev/router/loader"
+)
+
+// keysOf returns the dotted keys that a type names in TOML, with their values.
+func keysOf(prefix string, v reflect.Value, into map[string]string) {
+	t := v.Type()
+	if m, ok := v.Interface().(encoding.TextMarshaler); ok {
+		text, err := m.MarshalText()
+		if err != nil {
+			panic(err)
+		}
+		into[prefix] = string(text)
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		for i := range t.NumField() {
+			key := t.Field(i).Tag.Get("toml")
+			if prefix != "" {
+				key = prefix + "." + key
+			}
+			keysOf(key, v.Field(i), into)
+		}
+	case reflect.Map:
+		keysOf(prefix+".NAME", reflect.New(t.Elem()).Elem(), into)
+	default:
+		into[prefix] = fmt.Sprint(v.Interface())
+	}
+}
+
+var row = regexp.MustCompile("(?m)^\\| `([^`]+)` \\| (?:`([^`]*)`|([^|]*)) \\|")
+
+// TestPage holds docs/SETTINGS.md against the code: the same keys, and the
+// defaults that are in force.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := loader.Load("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, want := make(map[string]string), make(map[string]string)
+	keysOf("", reflect.ValueOf(*s), settings)
+	keysOf("", reflect.ValueOf(declarer.Declaration{}), want)
+	for key, value := range settings {
+		want[key] = value
+	}
+	for _, m := range row.FindAllStringSubmatch(string(page), -1) {
+		key, value := m[1], m[2]
+		if _, ok := want[key]; !ok {
+			t.Errorf("the page has %s, which the code does not know", key)
+		}
+		if def, ok := settings[key]; ok && value != def && m[3] != "a test key's" && (m[3] != "empty" || def != "") {
+			t.Errorf("%s: got default %q on the page, want %q", key, value+m[3], def)
+		}
+		delete(want, key)
+	}
+	for key := range want {
+		t.Errorf("the page lacks %s", key)
+	}
+}
+
+// TestFaults requires that bad settings name file, line and key.
+func TestFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"instnce = \"r\"":                      ":1: instnce: unknown key",
+		"[peer]\nterm = 3":                     ":2: peer.term:",
+		"[peer]\nterm = \"20s\"":               ":2: peer.term: want 1.2s to 9s",
+		"[peer]\nsecurity = \"none\"":          ":2: peer.security: want",
+		"[peer]\nsecurity = \"tls\"":           ":2: peer.security: \"tls\" needs",
+		"[peer]\ncertificate = \"x\"":          "contradicts",
+		"[listen]\ncaller = \"localhost:80\"":  ":2: listen.caller: want IP:port",
+		"[trace]\nsample = 2.0":                ":2: trace.sample: want 0 to 1",
+		"site = \"\"":                          ":1: site: is missing",
+		"[caller]\nbody-limit = 0":             ":2: caller.body-limit:",
+		"[caller]\nkey = \"x\"":                ":2: caller.key: certificate and key go together",
+		"log-format = \"xml\"":                 ":1: log-format: want",
+		"instance = \"a\"\ninstance = \"b\"\n": ":2:",
+	} {
+		path := filepath.Join(t.TempDir(), "s.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := loader.Load(path)
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %q", text, err, want)
+		}
+	}
+}
--- a/router/spreader/members.go
+++ b/router/spreader/members.go
@@ -42,16 +42,18 @@
 		s.members[name] = &member{
 			wire:  m,
 			heard: now,
+			news:  now,
 		}
 		s.edits++
 	case m.GetIncarnation() > old.wire.GetIncarnation():
 		old.wire = m
 		old.heard = now
+		old.news = now
 		old.delisted = time.Time{}
 		s.edits++
 	case m.GetIncarnation() < old.wire.GetIncarnation():
 	default:
-		s.note(old, m)
+		s.note(now, old, m)
 		if spoke {
 			old.heard = now
 		}
@@ -59,10 +61,11 @@
 }
 
 // note takes in what is new about a known incarnation.
-func (s *State) note(old *member, m *messenger.Member) {
+func (s *State) note(now time.Time, old *member, m *messenger.Member) {
 	next := merge(old.wire, m)
 	if next.GetLeaving() != old.wire.GetLeaving() || next.GetGone() != old.wire.GetGone() || next.GetAddress() != old.wire.GetAddress() {
 		old.wire = next
+		old.news = now
 		s.edits++
 	}
 }
@@ -140,16 +143,25 @@
 	return live
 }
 
-// tellMembers returns what the instance tells of others: all when they are
-// few, else a random part.
-func (s *State) tellMembers() []*messenger.Member {
-	members := make([]*messenger.Member, 0, len(s.members))
+// tellMembers returns what the instance tells of others: those that are news,
+// and a few of the rest at random.
+func (s *State) tellMembers(now time.Time) []*messenger.Member {
+	var fresh, rest []*messenger.Member
 	for _, m := range s.members {
-		members = append(members, m.wire)
+		if now.Sub(m.news) <= memberFresh {
+			fresh = append(fresh, m.wire)
+			continue
+		}
+		rest = append(rest, m.wire)
 	}
-	if len(members) <= memberLimit {
+	return append(some(fresh, freshLimit), some(rest, restLimit)...)
+}
+
+// some returns at most n members, picked at random.
+func some(members []*messenger.Member, n int) []*messenger.Member {
+	if len(members) <= n {
 		return members
 	}
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	return members[:memberLimit]
+	return members[:n]
 }
--- a/router/spreader/spreader.go
+++ b/router/spreader/spreader.go
@@ -27,8 +27,12 @@
 const (
 	// logLimit is how many changes are kept for peers that are behind.
 	logLimit = 4096
-	// memberLimit is how many members one message tells of.
-	memberLimit = 32
+	// memberFresh is how long what is new of a member is told to every peer.
+	memberFresh = 30 * time.Second
+	// freshLimit is how many members one message tells of that are news, and
+	// restLimit how many of the rest.
+	freshLimit = 32
+	restLimit  = 4
 	// markFresh is how long a new mark is told to every peer.
 	markFresh = 30 * time.Second
 	// markLife is how long a mark is kept.
@@ -64,6 +68,8 @@
 type member struct {
 	wire  *messenger.Member
 	heard time.Time
+	// news is when something about the member was last new.
+	news time.Time
 	// delisted is when the platform's list last lacked the member; zero if it does not.
 	delisted time.Time
 }
@@ -176,7 +182,7 @@
 		Sender:      s.Self,
 		Revision:    uint64(s.revision),
 		ConfirmedMs: s.left(now),
-		Members:     s.tellMembers(),
+		Members:     s.tellMembers(now),
 		Marks:       s.tellMarks(now),
 		Changes:     changes,
 	}
@@ -198,7 +204,7 @@
 		Revision:    uint64(s.revision),
 		ConfirmedMs: s.left(now),
 		Established: s.Established(now),
-		Members:     s.tellMembers(),
+		Members:     s.tellMembers(now),
 		Marks:       s.tellMarks(now),
 	}
 	changes, ok := s.Since(identifier.Revision(r.GetRevision()))
