--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"heatherhold.dev/core/messenger"
 )
 
@@ -101,3 +104,54 @@
 	}
 	return post(s.t.Context(), s.engines["e"].address, "", "/v1/streams", body, nil)
 }
+
+// gauge reads one of the router's metrics.
+func gauge(b *testing.B, r *router, name string) float64 {
+	b.Helper()
+	res, err := http.Get("http://" + r.caller + "/metrics")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer res.Body.Close()
+	for lines := bufio.NewScanner(res.Body); lines.Scan(); {
+		var value float64
+		if _, err := fmt.Sscanf(lines.Text(), name+" %g", &value); err == nil {
+			return value
+		}
+	}
+	b.Fatalf("got no metric %s", name)
+	return 0
+}
+
+// BenchmarkTokens streams many drafts at once: the router's processor time for
+// one token, its allocations and its memory before and after.
+func BenchmarkTokens(b *testing.B) {
+	const streams, limit = 32, 100
+	s := newSystem(b, 1, "e:0-12", "f:0-12", "g:0-12")
+	r := s.routers["r1"]
+	idle := gauge(b, r, "process_resident_memory_bytes")
+	begun, tokens := gauge(b, r, "process_cpu_seconds_total"), 0.0
+	allocated := gauge(b, r, "go_memstats_mallocs_total")
+	for b.Loop() {
+		var group errgroup.Group
+		counts := make([]float64, streams)
+		for i := range streams {
+			group.Go(func() error {
+				d := streamDraft(b.Context(), r.caller, councilKey, fmt.Sprintf("plate %d", i), limit)
+				counts[i] = float64(strings.Count(d.text, " "))
+				return d.err
+			})
+		}
+		if err := group.Wait(); err != nil {
+			b.Fatal(err)
+		}
+		for _, n := range counts {
+			tokens += n
+		}
+	}
+	used := gauge(b, r, "process_cpu_seconds_total") - begun
+	b.ReportMetric(tokens/used, "tokens/core-s")
+	b.ReportMetric((gauge(b, r, "go_memstats_mallocs_total")-allocated)/tokens, "allocs/token")
+	b.ReportMetric(idle/(1<<20), "idle-MB")
+	b.ReportMetric(gauge(b, r, "process_resident_memory_bytes")/(1<<20), "loaded-MB")
+}
