--- a/router/streamer/streamer_test.go
+++ b/router/streamer/streamer_test.go
@@ -128,6 +128,7 @@
 			"break":  {BreakAt: at},
 			"end":    {EndEarlyAt: at},
 			"silent": {SilentAt: at},
+			"drop":   {DropAt: at},
 			"mixed":  {BreakAt: at, CrossEvery: 2, DoubleEvery: 3, SwapEvery: 4},
 		} {
 			t.Run(fmt.Sprintf("%s at %d", name, at), func(t *testing.T) {
--- a/standin/generator/engine.go
+++ b/standin/generator/engine.go
@@ -28,6 +28,8 @@
 	SwapEvery int64 `json:"swap-every"`
 	// CrossEvery sends a frame of another request before every so manyth.
 	CrossEvery int64 `json:"cross-every"`
+	// DropAt leaves out the so manyth token, once for each prompt.
+	DropAt int64 `json:"drop-at"`
 	// SkipLayer runs one layer too few, and says so in the stamp.
 	SkipLayer bool `json:"skip-layer"`
 	// OtherVersion runs another version, and says so in the stamp.
--- a/standin/generator/writer.go
+++ b/standin/generator/writer.go
@@ -31,7 +31,12 @@
 		return false
 	}
 	if due(faults.CrossEvery, f.Index) {
-		o.write("another-request", f)
+		stray := f
+		stray.Token = " stray"
+		o.write("another-request", stray)
+	}
+	if o.engine.trip("drop", o.prompt, faults.DropAt, f.Index) {
+		return true
 	}
 	if due(faults.SwapEvery, f.Index) && o.held == nil {
 		o.held = &f
