Say what an apply waits for when no instance is missing

Cause: while a committed change waits for its term, the progress line ended in an empty list of instances, as a walk by the README alone showed.

Change: it says "one term to pass".

--- a/operator/printer/printer.go
+++ b/operator/printer/printer.go
@@ -121,8 +121,12 @@
 	return err
 }
 
-// Waiting names the instances that a revision waits for.
+// Waiting names what a revision waits for: instances, or else the term after the
+// commit.
 func Waiting(a messenger.Acceptance) string {
+	if len(a.Waiting) == 0 {
+		return "one term to pass"
+	}
 	names := make([]string, 0, len(a.Waiting))
 	for _, i := range a.Waiting {
 		names = append(names, i.Instance+" ("+i.Site+")")
--- /dev/null
+++ b/router/caller_test.go
@@ -0,0 +1,112 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/standin/generator"
+)
+
+// draft is the outcome of one draft.
+type draft struct {
+	status int
+	text   string
+	whole  bool
+	body   classifier.Body
+	err    error
+}
+
+// streamDraft asks a router for a draft, token by token.
+func streamDraft(ctx context.Context, address, key, prompt string, limit int) draft {
+	body, err := json.Marshal(map[string]any{
+		"model":      "drafts",
+		"prompt":     prompt,
+		"stream":     true,
+		"max_tokens": limit,
+	})
+	if err != nil {
+		return draft{err: err}
+	}
+	res, err := post(ctx, address, key, "/v1/completions", body, nil)
+	if err != nil {
+		return draft{err: err}
+	}
+	defer res.Body.Close()
+	d := draft{status: res.StatusCode}
+	if res.StatusCode != http.StatusOK {
+		d.err = json.NewDecoder(res.Body).Decode(&d.body)
+		return d
+	}
+	data, err := io.ReadAll(res.Body)
+	d.err = err
+	d.read(string(data))
+	return d
+}
+
+// read takes the events of a stream in.
+func (d *draft) read(events string) {
+	for _, line := range strings.Split(events, "\n") {
+		event, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if event == "[DONE]" {
+			d.whole = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+			classifier.Body
+		}
+		if err := json.Unmarshal([]byte(event), &chunk); err != nil {
+			d.err = err
+			return
+		}
+		if len(chunk.Choices) > 0 {
+			d.text += chunk.Choices[0].Text
+		}
+		if chunk.Error.Kind != "" {
+			d.body = chunk.Body
+		}
+	}
+}
+
+func post(ctx context.Context, address, key, path string, body []byte, header map[string]string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	time.AfterFunc(2*patience, cancel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// wantText returns the whole answer to a prompt.
+func wantText(prompt, version string, limit int) string {
+	return strings.Join(generator.Text(prompt, version, layers, int64(limit)), "")
+}
+
+// checkWhole fails the test unless d is the whole answer to its own prompt.
+func checkWhole(t testing.TB, d draft, prompt string, limit int) {
+	t.Helper()
+	if d.err != nil || d.status != http.StatusOK || !d.whole {
+		t.Errorf("draft of %q: got status %d, whole %t, error %v, body %+v; want the whole answer", prompt, d.status, d.whole, d.err, d.body)
+		return
+	}
+	if want := wantText(prompt, "v1", limit); d.text != want {
+		t.Errorf("draft of %q: got %q, want %q", prompt, d.text, want)
+	}
+}
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -231,7 +231,7 @@
 	if c.state.Revision() != revision || len(c.state.Marks()) != marks {
 		c.signal()
 	}
-	c.publish(now)
+	c.publish()
 }
 
 func (c *Controller) signal() {
@@ -260,7 +260,7 @@
 	err := c.Loop.Do(ctx, func() {
 		c.replaceSelf(true, false)
 		c.edits = 0
-		c.publish(time.Now())
+		c.publish()
 	})
 	c.signal()
 	return errors.Wrap(err, "leave")
--- a/router/controller/view.go
+++ b/router/controller/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"heatherhold.dev/core/declarer"
 	"heatherhold.dev/core/identifier"
@@ -12,7 +11,7 @@
 )
 
 // publish puts the state in force for traffic. It runs on the control loop.
-func (c *Controller) publish(now time.Time) {
+func (c *Controller) publish() {
 	c.build()
 	if c.parsed == nil {
 		return
