--- a/router/components.go
+++ b/router/components.go
@@ -153,7 +153,7 @@
 }
 
 func newServer(s *loader.Settings, o *observer.Observer, a *acquirer.Acquirer, e driver.Engine, c *claimer.Claimer, p *reporter.Reporter, ctl *controller.Controller, log logrus.FieldLogger) *server.Server {
-	return &server.Server{
+	srv := &server.Server{
 		Observer: o,
 		Streamer: &streamer.Streamer{
 			Tickets: a,
@@ -176,6 +176,10 @@
 		BodyTimeout:  s.Caller.BodyTimeout.Std(),
 		WriteTimeout: s.Caller.WriteTimeout.Std(),
 	}
+	p.Gauge("heatherhold_active_requests", func() float64 { return float64(srv.Active()) })
+	p.Gauge("heatherhold_revision", func() float64 { return float64(o.View().Revision) })
+	p.Gauge("heatherhold_live_instances", func() float64 { return float64(len(o.View().Live)) })
+	return srv
 }
 
 func newBudget() *streamer.Budget {
--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -89,16 +89,22 @@
 	settings string
 }
 
-// nextPort is below the ports that the system gives to outgoing connections, so
-// that none of those takes an address before its process listens on it.
+// nextPort counts ports below those that the system gives to outgoing
+// connections, so that none of those takes an address before its process listens
+// on it. Runs at the same time take different blocks, as a rule.
 var nextPort atomic.Int32
 
-const firstPort = 21000
+const (
+	firstPort  = 21000
+	portBlock  = 1000
+	portBlocks = 11
+)
 
 func freePort(t testing.TB) string {
 	t.Helper()
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		block := os.Getpid() % portBlocks * portBlock
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+block+int(nextPort.Add(1)))
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			l.Close()
