Count broken chains, not revoked ones, against a request

Change: only breaks count towards the bound of 6. An endpoint's count of streams is forgotten when it reaches none; it grew by one entry a restart.

--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -281,6 +281,9 @@
 	delete(p.flights, r)
 	for _, s := range f.chain {
 		p.own[s.Life]--
+		if p.own[s.Life] == 0 {
+			delete(p.own, s.Life)
+		}
 	}
 	p.judge(now, f, o)
 	used := float64(f.ask.Prompt)*promptWeight + float64(o.Tokens)
--- a/router/streamer/streamer.go
+++ b/router/streamer/streamer.go
@@ -78,8 +78,9 @@
 	Leaving func(identifier.Life)
 }
 
-// maxAttempts bounds the chains that one request may try.
-const maxAttempts = 6
+// maxBreaks bounds the chains that may break under one request. A chain that is
+// given up for more urgent work does not count.
+const maxBreaks = 6
 
 // Run streams w to sink until its end. It returns nil only after the whole
 // answer; the error's kind says whether anything ran.
@@ -110,6 +111,7 @@
 	avoid    []identifier.Life
 	started  bool
 	attempts int
+	breaks   int
 	finish   string
 }
 
@@ -139,7 +141,8 @@
 		return r.refusal(kind)
 	}
 	r.streamer.Log.WithError(err).WithField("request", r.work.Request).WithField("held", len(r.held)).Warn("chain given up")
-	if r.attempts < maxAttempts && r.streamer.Budget.Spend() {
+	r.breaks++
+	if r.breaks < maxBreaks && r.streamer.Budget.Spend() {
 		return nil
 	}
 	return r.broken(err)
