--- a/router/controller/platform.go
+++ b/router/controller/platform.go
@@ -79,33 +79,34 @@
 	}
 }
 
-// fastParts is how often in a term the table is read while no peer confirms.
-const fastParts = 3
+// lookParts is how often in a term the instance looks whether it needs the table.
+const lookParts = 6
 
 // readTableAlways reads the table's head: seldom while peers confirm the
 // instance, and often while they don't.
 func (c *Controller) readTableAlways(ctx context.Context) error {
 	c.loadSnapshot(ctx)
 	c.loadMarks(ctx)
+	var last time.Time
 	for {
-		c.readTable(ctx)
-		if !pause(ctx, jitter(c.tableInterval(ctx))) {
+		if time.Since(last) >= c.Settings.Platform.TableInterval.Std() || c.lonely(ctx) {
+			last = time.Now()
+			c.readTable(ctx)
+		}
+		if !pause(ctx, jitter(c.Settings.Peer.Term.Std()/lookParts)) {
 			return nil
 		}
 	}
 }
 
-func (c *Controller) tableInterval(ctx context.Context) time.Duration {
-	interval := c.Settings.Platform.TableInterval.Std()
-	term := c.Settings.Peer.Term.Std()
+// lonely reports whether the instance needs the table to go on deciding: no
+// peer has confirmed it for half a term, or it is a newcomer.
+func (c *Controller) lonely(ctx context.Context) bool {
 	lonely, err := looper.Get(ctx, c.Loop, func() bool {
 		now := time.Now()
-		return c.state.ConfirmedUntil().Sub(now) < term/2 || !c.state.Established(now)
+		return c.state.ConfirmedUntil().Sub(now) < c.Settings.Peer.Term.Std()/2 || !c.state.Established(now)
 	})
-	if err == nil && lonely {
-		return min(interval, term/fastParts)
-	}
-	return interval
+	return err == nil && lonely
 }
 
 func (c *Controller) loadSnapshot(ctx context.Context) {
--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -265,6 +265,8 @@
 interval = "100ms"
 term = "1s"
 silence = "1s"
+[caller]
+body-timeout = "500ms"
 [operator]
 key-sha256 = %q
 [stop]
