Take back the lifted deadline of bodies; it mended nothing

Change: the lifting is reverted; the tests keep the short body deadline, under which streams go on for seconds.

--- a/router/server/model.go
+++ b/router/server/model.go
@@ -55,7 +55,7 @@
 
 func (s *Server) completions(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
 	var c completionRequest
-	if err := decode(w, r, &c); err != nil {
+	if err := decode(r, &c); err != nil {
 		return err
 	}
 	return s.generate(ctx, w, r, x, generation{
@@ -70,7 +70,7 @@
 
 func (s *Server) chat(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
 	var c chatRequest
-	if err := decode(w, r, &c); err != nil {
+	if err := decode(r, &c); err != nil {
 		return err
 	}
 	if len(c.Messages) == 0 {
@@ -110,8 +110,8 @@
 
 // decode reads a JSON body; keys that are not known are let pass, as clients of
 // the format send many.
-func decode(w http.ResponseWriter, r *http.Request, v any) error {
-	data, err := body(w, r)
+func decode(r *http.Request, v any) error {
+	data, err := body(r)
 	if err != nil {
 		return err
 	}
@@ -121,12 +121,8 @@
 	return nil
 }
 
-// body reads the whole body. The deadline for it ends with it: left in force it
-// would end the connection, and the answer with it, while the answer is sent.
-func body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func body(r *http.Request) ([]byte, error) {
 	data, err := io.ReadAll(r.Body)
-	// A writer without deadlines has none to end.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, classifier.New(classifier.TooLarge, "the body is larger than the limit")
--- a/router/server/plain.go
+++ b/router/server/plain.go
@@ -40,7 +40,7 @@
 	if service.Kind != declarer.Plain {
 		return classifier.New(classifier.BadRequest, string(name)+" is a model service: use /v1")
 	}
-	data, err := body(w, r)
+	data, err := body(r)
 	if err != nil {
 		return err
 	}
