Check the second senders' answers in TestOrdersUnderKills

Cause: read once more, the test compared only the killed router's answers with what the service ran, and left out those of the router that the keys were sent to next.

Seen: TestOrdersUnderKills, TestOrdersWithoutTable, TestVanishedCaller, TestPausedInstance and TestDrain pass.

--- a/router/configuration_test.go
+++ b/router/configuration_test.go
@@ -76,14 +76,12 @@
 		t.Fatalf("got %q, %v; want accepted", out, err)
 	}
 	r3.signal(t, syscall.SIGCONT)
-	sawUnauthenticated := false
 	eventually(t, "r3 decides by the new revision", func() error {
 		d := streamDraft(t.Context(), r3.caller, hospiceKey, "plate", 4)
 		if d.status == http.StatusOK {
 			t.Fatal("r3 served a key that was revoked by an accepted revision")
 		}
-		sawUnauthenticated = d.status == http.StatusUnauthorized
-		if !sawUnauthenticated {
+		if d.status != http.StatusUnauthorized {
 			return fmt.Errorf("got status %d, want 401", d.status)
 		}
 		return nil
--- a/router/orders_test.go
+++ b/router/orders_test.go
@@ -43,16 +43,28 @@
 // runs returns how often the plain service ran each body and each request.
 func (s *system) runs(t *testing.T) map[string]int {
 	t.Helper()
-	res, err := http.Get("http://" + s.services["s1"].address + "/runs")
+	return counts(t, "http://"+s.services["s1"].address+"/runs")
+}
+
+// started returns how many streams an engine has begun.
+func (s *system) started(t *testing.T, engine string) int {
+	t.Helper()
+	return len(counts(t, "http://"+s.engines[engine].address+"/v1/started"))
+}
+
+// counts reads what a stand-in has counted.
+func counts(t *testing.T, url string) map[string]int {
+	t.Helper()
+	res, err := http.Get(url)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer res.Body.Close()
-	runs := make(map[string]int)
-	if err := json.NewDecoder(res.Body).Decode(&runs); err != nil {
+	got := make(map[string]int)
+	if err := json.NewDecoder(res.Body).Decode(&got); err != nil {
 		t.Fatal(err)
 	}
-	return runs
+	return got
 }
 
 // checkPlaced compares answers with what the service really ran.
@@ -79,7 +91,7 @@
 	random := rand.New(rand.NewPCG(seed, seed))
 	answers := make(map[string][]placed)
 	for round := range rounds {
-		first := make([]placed, keys)
+		first, second := make([]placed, keys), make([]placed, keys)
 		var group errgroup.Group
 		for k := range keys {
 			group.Go(func() error {
@@ -94,18 +106,17 @@
 		for k := range keys {
 			group.Go(func() error {
 				body := fmt.Sprintf("plate %d-%d", round, k)
-				second := place(t.Context(), s.routers["r2"], body, body)
-				if second.err != nil {
-					t.Errorf("%s: %v", body, second.err)
+				second[k] = place(t.Context(), s.routers["r2"], body, body)
+				if second[k].err != nil {
+					t.Errorf("%s: %v", body, second[k].err)
 				}
-				first[k].err = nil
 				return nil
 			})
 		}
 		_ = group.Wait()
 		for k := range keys {
 			body := fmt.Sprintf("plate %d-%d", round, k)
-			answers[body] = append(answers[body], first[k])
+			answers[body] = append(answers[body], first[k], second[k])
 		}
 		<-s.routers["r1"].done
 		s.startRouter("r1")
@@ -180,18 +191,3 @@
 		t.Error("another body under a used key ran")
 	}
 }
-
-// started returns how many streams an engine has begun.
-func (s *system) started(t *testing.T, engine string) int {
-	t.Helper()
-	res, err := http.Get("http://" + s.engines[engine].address + "/v1/started")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer res.Body.Close()
-	started := make(map[string]int)
-	if err := json.NewDecoder(res.Body).Decode(&started); err != nil {
-		t.Fatal(err)
-	}
-	return len(started)
-}
