--- a/router/conductor/conductor.go
+++ b/router/conductor/conductor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,9 @@
 	settleTime = 3 * time.Second
 	// ordersAtOnce bounds the orders on their way.
 	ordersAtOnce = 8
+	// calm is for how long a fleet that holds nothing must not grow before it
+	// is dealt out.
+	calm = time.Second
 )
 
 // Conductor plans and orders. Set the exported fields before Run.
@@ -52,6 +56,14 @@
 	until   time.Time
 	fence   identifier.Fence
 	refused time.Time
+	// grown has, for each service, its endpoints' number and since when it stands.
+	grown map[identifier.Service]growth
+}
+
+// growth is the size of a fleet and since when it has that.
+type growth struct {
+	size  int
+	since time.Time
 }
 
 // intent is what an endpoint was ordered to hold.
@@ -63,6 +75,7 @@
 // Run keeps endpoints to the plan until ctx ends.
 func (c *Conductor) Run(ctx context.Context) error {
 	c.ordered = make(map[identifier.Life]intent)
+	c.grown = make(map[identifier.Service]growth)
 	t := time.NewTicker(lookInterval)
 	defer t.Stop()
 	for {
@@ -87,6 +100,9 @@
 			continue
 		}
 		fleet := c.expected(v.Fleet[name])
+		if !c.settled(name, fleet) {
+			continue
+		}
 		plan := placer.Plan(s.Engine, fleet)
 		if len(plan) > 0 {
 			c.carryOut(ctx, fleet, plan)
@@ -94,6 +110,23 @@
 	}
 }
 
+// settled reports whether a fleet can be dealt out: some endpoint holds layers,
+// or no endpoint has come for a while.
+func (c *Conductor) settled(s identifier.Service, fleet []cataloguer.Endpoint) bool {
+	if slices.ContainsFunc(fleet, func(p cataloguer.Endpoint) bool { return p.Holds() }) {
+		return true
+	}
+	g, ok := c.grown[s]
+	if !ok || g.size != len(fleet) {
+		c.grown[s] = growth{
+			size:  len(fleet),
+			since: time.Now(),
+		}
+		return false
+	}
+	return time.Since(g.since) >= calm
+}
+
 // forget drops the orders to endpoints that are gone or whose order had time to show.
 func (c *Conductor) forget() {
 	for l, o := range c.ordered {
--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -34,15 +34,19 @@
 // Slots returns how many requests of the usual size an accelerator that holds
 // n layers has room for at once.
 func Slots(e *cataloguer.Engine, a cataloguer.Accelerator, n identifier.Layer) int {
-	usual := float64(max(e.Prompt+e.Answer, 1))
-	return min(int(e.Room(a, n)/usual), e.Slots)
+	return min(int(e.Room(a, n)/Usual(e)), e.Slots)
+}
+
+// Usual returns the tokens that a request of the usual size holds on average
+// while it runs.
+func Usual(e *cataloguer.Engine) float64 {
+	return max(float64(e.Prompt)+float64(e.Answer)/2, 1)
 }
 
 // step is the time of one token step through all layers at pace 1 with n
 // requests of the usual size.
 func step(e *cataloguer.Engine, n int) time.Duration {
-	context := float64(e.Prompt) + float64(e.Answer)/2
-	each := float64(e.PerSequence) + float64(e.PerThousand)*context/1000
+	each := float64(e.PerSequence) + float64(e.PerThousand)*Usual(e)/1000
 	return e.Step + time.Duration(float64(n)*each)
 }
 
--- a/router/exchanger/exchanger.go
+++ b/router/exchanger/exchanger.go
@@ -74,7 +74,6 @@
 	address string
 	reader  *bufio.Reader
 	until   time.Time
-	used    bool
 }
 
 // Open sends c and returns the answer once its headers are here. The deadline
--- a/router/relayer/relayer.go
+++ b/router/relayer/relayer.go
@@ -75,9 +75,6 @@
 // answerLimit bounds the answer of a plain service, in bytes.
 const answerLimit = 16 << 20
 
-// errNoTime ends a request whose time is over.
-var errNoTime = errors.New("the time of the request is over")
-
 // budget returns the retry budget of a service; its burst is this instance's
 // share of what all may save up.
 func (x *Relayer) budget(s identifier.Service) *streamer.Budget {
@@ -115,6 +112,7 @@
 			engine:  service.Engine,
 			w:       w,
 			last:    j.Request.After,
+			timing:  timing{begun: time.Now()},
 		}
 		err = s.run(ctx)
 		return s.started, err
--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
@@ -35,6 +36,30 @@
 	last int64
 	// passed counts the events that were passed on.
 	passed int64
+	timing timing
+}
+
+// timing is what a stream's caller saw.
+type timing struct {
+	begun time.Time
+	// queued is the time spent waiting for chains, and first the time to the
+	// first event.
+	queued time.Duration
+	first  time.Duration
+	// latest is when the last event was passed on, and longest the longest
+	// pause between two events.
+	latest  time.Time
+	longest time.Duration
+}
+
+// note counts an event.
+func (t *timing) note(now time.Time) {
+	if t.latest.IsZero() {
+		t.first = now.Sub(t.begun)
+	} else {
+		t.longest = max(t.longest, now.Sub(t.latest))
+	}
+	t.latest = now
 }
 
 // triesLimit bounds the sends of one request, those that did not run included.
@@ -44,6 +69,7 @@
 	for {
 		err := s.attempt(ctx)
 		if err == nil {
+			s.report()
 			return nil
 		}
 		again := s.mayRepeat(ctx, err)
@@ -56,6 +82,21 @@
 	}
 }
 
+// report logs a stream that was whole and late.
+func (s *stream) report() {
+	route := s.job.Route
+	if s.timing.first <= route.Target && s.timing.longest <= route.Gap {
+		return
+	}
+	s.relayer.Log.WithFields(s.job.fields()).WithFields(logrus.Fields{
+		"queued-ms":  s.timing.queued.Milliseconds(),
+		"first-ms":   s.timing.first.Milliseconds(),
+		"longest-ms": s.timing.longest.Milliseconds(),
+		"tries":      s.tries,
+		"events":     s.passed,
+	}).Info("stream was late")
+}
+
 // mayRepeat reports whether the request may go to another chain.
 func (s *stream) mayRepeat(ctx context.Context, err error) bool {
 	var kind *classifier.Error
@@ -78,7 +119,9 @@
 // attempt gets a chain and reads its answer to the end.
 func (s *stream) attempt(ctx context.Context) error {
 	s.tries++
+	asked := time.Now()
 	ticket, err := s.relayer.Tickets.Acquire(ctx, s.job.Service, s.ask())
+	s.timing.queued += time.Since(asked)
 	if err != nil {
 		return err
 	}
@@ -299,6 +342,7 @@
 		s.last = e.id
 	}
 	s.passed++
+	s.timing.note(time.Now())
 	return nil
 }
 
--- a/router/site.go
+++ b/router/site.go
@@ -62,6 +62,8 @@
 	leaseTerm = 5 * time.Second
 	// memoryPart is the part of the instance's memory that the heap may fill.
 	memoryPart = 0.7
+	// stopMargin is kept from the time that the platform grants for a stop.
+	stopMargin = 600 * time.Millisecond
 )
 
 // siteComponents builds the parts of a router on a platform that keeps
@@ -342,20 +344,20 @@
 // flight are done, and for most of the time that the platform grants.
 func (s *site) stop(ctx context.Context) error {
 	p := s.parts
+	ctx, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std()-stopMargin)
+	defer cancel()
 	p.Log.WithField("requests", p.Receiver.Active()).Info("stopping: not ready for new work")
 	if err := p.Controller.Leave(ctx); err != nil {
 		p.Log.WithError(err).Warn("peers not told of the stop")
 	}
 	time.Sleep(p.Settings.Stop.Notice.Std())
-	finish, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std())
-	defer cancel()
-	if err := s.caller.Shutdown(finish); err != nil {
+	if err := s.caller.Shutdown(ctx); err != nil {
 		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
 	}
-	depart, cancel := context.WithTimeout(ctx, departLimit)
+	depart, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
 	defer cancel()
 	if err := p.Controller.Depart(depart); err != nil {
-		p.Log.WithError(err).Debug("not withdrawn")
+		p.Log.WithError(err).Info("peers not told that the instance is gone")
 	}
 	s.cancel()
 	err := s.group.Wait()
