Move streams off a stage that falls silent; keep chains off the pipes

Cause: a stage that goes dark stalls every stream through it for two seconds; it was found only after its report said so (0.5 s), and the streams were then read again elsewhere from the start. Change: an endpoint is asked when every stream through it is silent, and taken as dead when it does not answer and they still are. Its streams are then moved with the same first stage (planner.Need.First, Ask.first), else resumed. One fault counts once. A crossing costs 60 times the prompt's transfer.

--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -90,9 +90,9 @@
 	return 0
 }
 
-// pipeCrowding is how much longer than alone a prompt's transfer is taken to
-// wait, since all chains share the pipe.
-const pipeCrowding = 4
+// pipeCrowding is how many times its own time a prompt's transfer costs: all
+// chains share the pipe, and every event on it waits behind the prompts.
+const pipeCrowding = 60
 
 // Transfer returns the time that a prompt spends on the pipe between two data centres.
 func (l Links) Transfer(from, to identifier.DataCentre, prompt identifier.Tokens) time.Duration {
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -22,6 +22,12 @@
 		Version:  identifier.Version(a.GetVersion()),
 		Resumed:  a.GetResumed(),
 	}
+	if f := a.GetFirst(); f != nil {
+		ask.First = identifier.Life{
+			Endpoint:    identifier.Endpoint(f.GetEndpoint()),
+			Incarnation: identifier.Incarnation(f.GetIncarnation()),
+		}
+	}
 	if a.GetFree() {
 		ask.Tier = identifier.Free
 	}
--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -49,6 +49,14 @@
 	Entry identifier.DataCentre
 	// Avoid lists endpoint lives that must not be used.
 	Avoid []identifier.Life
+	// First, if it is set, is the life that the chain must begin with. It has the
+	// request already, so that it needs no free slot for it.
+	First identifier.Life
+}
+
+// begins reports whether a chain may begin with r.
+func (n *Need) begins(r *Runner) bool {
+	return r.From == 0 && (n.First.Endpoint == "" || n.First == r.Life)
 }
 
 // node is the cheapest way to reach the end of one runner's layers.
@@ -91,7 +99,7 @@
 func enter(runners []Runner, nodes []node, order []int, i int, links Links, need Need) {
 	r := &runners[i]
 	own := work(r, need)
-	if r.From == 0 {
+	if need.begins(r) {
 		nodes[i].cost = own + hop(links, need.Entry, r.DataCentre, need)
 	}
 	for _, j := range order {
@@ -131,7 +139,10 @@
 }
 
 func usable(r *Runner, need Need) bool {
-	if r.Version != need.Version || r.Running >= r.Slots || r.To > need.Layers {
+	if r.Version != need.Version || r.To > need.Layers {
+		return false
+	}
+	if r.Running >= r.Slots && r.Life != need.First {
 		return false
 	}
 	return !slices.Contains(need.Avoid, r.Life)
--- a/router/relayer/relayer.go
+++ b/router/relayer/relayer.go
@@ -38,6 +38,9 @@
 // Orders asks and orders model endpoints.
 type Orders interface {
 	Report(ctx context.Context, address string) (director.Report, error)
+	// Repath has the first stage of a running request go on over another chain.
+	// After director.ErrPart the address names the stage that could not take part.
+	Repath(ctx context.Context, id identifier.Request, chain []identifier.Stage) (string, error)
 }
 
 // Job is one request and what is declared for it.
@@ -111,9 +114,9 @@
 			job:     j,
 			engine:  service.Engine,
 			w:       w,
-			last:    j.Request.After,
 			timing:  timing{begun: time.Now()},
 		}
+		s.last.Store(j.Request.After)
 		err = s.run(ctx)
 		return s.started, err
 	}
--- a/router/relayer/silence.go
+++ b/router/relayer/silence.go
@@ -4,85 +4,194 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
 )
 
 const (
-	// reportTimeout is the longest wait for an endpoint's report.
-	reportTimeout = 150 * time.Millisecond
-	// patienceGrowth is how much longer the next silence may be after an
-	// endpoint said that the request moves.
-	patienceGrowth = 2
-	// patienceLimit is the longest silence after which an endpoint is asked again.
-	patienceLimit = time.Second
+	// lookInterval is how often running streams are looked at.
+	lookInterval = 30 * time.Millisecond
+	// silencePart is the part of the longest pause that is on time, or of the
+	// target for the first event, after which a stream counts as silent.
+	silencePart = 0.45
+	// minSilence is the shortest silence that counts.
+	minSilence = 60 * time.Millisecond
+	// probeTimeout is the longest wait for an endpoint's report.
+	probeTimeout = 60 * time.Millisecond
+	// probePause is how long an endpoint that has answered is not asked again;
+	// it doubles while the streams through it stay silent, up to probeLimit.
+	probePause = 300 * time.Millisecond
+	probeLimit = 2 * time.Second
+	// failPause is for how long an endpoint that was taken as dead is not
+	// looked at again.
+	failPause = 500 * time.Millisecond
 )
 
-// watcher asks the first stage what holds a stream up, each time that it has
-// been silent for too long.
-type watcher struct {
-	attempt  *attempt
-	ctx      context.Context
-	timer    *time.Timer
-	patience time.Duration
+// Watch finds the endpoints that hold streams up, until ctx ends. An endpoint
+// is suspected when every stream through it is silent, and taken as dead when
+// it does not answer and they all still are: then the streams are moved.
+func (x *Relayer) Watch(ctx context.Context) error {
+	w := &watch{
+		relayer: x,
+		asked:   make(map[identifier.Life]asked),
+	}
+	t := time.NewTicker(lookInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			w.look(ctx, now)
+		}
+	}
+}
+
+// watch is the state of Watch.
+type watch struct {
+	relayer *Relayer
+	asked   map[identifier.Life]asked
 }
 
-// watcher returns a watcher that is not yet running.
-func (a *attempt) watcher(ctx context.Context) *watcher {
-	return &watcher{
-		attempt: a,
-		ctx:     ctx,
-	}
+// asked says when an endpoint may be asked again.
+type asked struct {
+	next  time.Time
+	pause time.Duration
 }
 
-// watch starts a watcher for one silence and returns what ends it.
-func (a *attempt) watch(ctx context.Context, patience time.Duration) func() {
-	w := a.watcher(ctx)
-	w.reset(patience)
-	return w.stop
+// evidence is what the streams through one endpoint show.
+type evidence struct {
+	stage  identifier.Stage
+	silent int
+	moving int
 }
 
-// reset begins a new silence.
-func (w *watcher) reset(patience time.Duration) {
-	w.patience = max(patience, minPatience)
-	if w.timer == nil {
-		w.timer = time.AfterFunc(w.patience, w.ask)
+// look asks the endpoints whose streams are all silent.
+func (w *watch) look(ctx context.Context, now time.Time) {
+	found := w.relayer.evidence(now)
+	suspects := w.suspects(now, found)
+	if len(suspects) == 0 {
 		return
 	}
-	w.timer.Reset(w.patience)
+	reports := w.ask(ctx, suspects)
+	after := w.relayer.evidence(time.Now())
+	for i, s := range suspects {
+		e := after[s.Life]
+		if reports[i].err == nil || e == nil || e.moving > 0 {
+			continue
+		}
+		w.asked[s.Life] = asked{next: now.Add(failPause)}
+		w.relayer.fail(ctx, s.Life, "does not answer")
+		return
+	}
+	for _, r := range reports {
+		w.relayer.blame(ctx, r.report)
+	}
 }
 
-// minPatience is the shortest silence that counts.
-const minPatience = 50 * time.Millisecond
+// suspects returns the endpoints through which nothing moves and that may be
+// asked now, and forgets those through which something does.
+func (w *watch) suspects(now time.Time, found map[identifier.Life]*evidence) []identifier.Stage {
+	for l := range w.asked {
+		if e := found[l]; e == nil || e.moving > 0 {
+			delete(w.asked, l)
+		}
+	}
+	var out []identifier.Stage
+	for l, e := range found {
+		if e.moving > 0 || e.silent == 0 || now.Before(w.asked[l].next) {
+			continue
+		}
+		pause := min(max(2*w.asked[l].pause, probePause), probeLimit)
+		w.asked[l] = asked{
+			next:  now.Add(pause),
+			pause: pause,
+		}
+		out = append(out, e.stage)
+	}
+	return out
+}
 
-// stop ends the watch.
-func (w *watcher) stop() {
-	w.timer.Stop()
+// heard is an endpoint's answer; err is set if there was none.
+type heard struct {
+	report director.Report
+	err    error
 }
 
-// ask finds the stage at fault and ends the attempts through it.
-func (w *watcher) ask() {
-	if w.ctx.Err() != nil {
-		return
-	}
-	a := w.attempt
-	x := a.stream.relayer
-	ctx, cancel := context.WithTimeout(w.ctx, reportTimeout)
+// ask asks all stages at once.
+func (w *watch) ask(ctx context.Context, stages []identifier.Stage) []heard {
+	out := make([]heard, len(stages))
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	first := a.ticket.Chain[0]
-	report, err := x.Orders.Report(ctx, first.Address)
-	if w.ctx.Err() != nil {
-		return
+	var group errgroup.Group
+	for i, s := range stages {
+		group.Go(func() error {
+			out[i].report, out[i].err = w.relayer.Orders.Report(ctx, s.Address)
+			return nil
+		})
 	}
-	if err != nil {
-		x.fail(first.Life, "does not answer")
-		return
+	// A stage that doesn't answer has its error in its own place.
+	_ = group.Wait()
+	return out
+}
+
+// evidence counts, for each endpoint, the streams through it that are silent
+// and those that move.
+func (x *Relayer) evidence(now time.Time) map[identifier.Life]*evidence {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	out := make(map[identifier.Life]*evidence)
+	for a := range x.running {
+		state := a.state(now)
+		if state == unknown {
+			continue
+		}
+		for _, s := range a.chain() {
+			e, ok := out[s.Life]
+			if !ok {
+				e = &evidence{stage: s}
+				out[s.Life] = e
+			}
+			if state == silent {
+				e.silent++
+			} else {
+				e.moving++
+			}
+		}
 	}
-	if at, ok := report.Stalled[a.stream.job.Request.ID]; ok {
-		x.fail(a.at(at), "holds the request up")
-		return
+	return out
+}
+
+// state is what a stream shows of its chain.
+type state int
+
+const (
+	unknown state = iota
+	silent
+	moving
+)
+
+// state returns whether the stream moves at now. One that waits for its first
+// event shows nothing for a while: its prompt is being read.
+func (a *attempt) state(now time.Time) state {
+	route := a.stream.job.Route
+	latest := a.latest.Load()
+	if latest == nil {
+		if now.Sub(a.begun) > limit(route.Target) {
+			return silent
+		}
+		return unknown
 	}
-	w.patience = min(w.patience*patienceGrowth, patienceLimit)
-	w.timer.Reset(w.patience)
+	if now.Sub(*latest) > limit(route.Gap) {
+		return silent
+	}
+	return moving
+}
+
+func limit(target time.Duration) time.Duration {
+	return max(time.Duration(silencePart*float64(target)), minSilence)
 }
 
 func (x *Relayer) enter(a *attempt) {
@@ -100,22 +209,74 @@
 	delete(x.running, a)
 }
 
-// fail ends every attempt whose chain has the life.
-func (x *Relayer) fail(l identifier.Life, detail string) {
+// attempts returns the running attempts for which f holds.
+func (x *Relayer) attempts(f func(*attempt) bool) []*attempt {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	n := 0
+	var out []*attempt
 	for a := range x.running {
-		for _, s := range a.ticket.Chain {
-			if s.Life == l {
-				a.cancel(&stageError{
-					life:   l,
-					detail: detail,
-				})
-				n++
-				break
-			}
+		if f(a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// uses reports whether the attempt's chain has the life.
+func (a *attempt) uses(l identifier.Life) bool {
+	for _, s := range a.chain() {
+		if s.Life == l {
+			return true
+		}
+	}
+	return false
+}
+
+// fail moves every attempt whose chain has the life to another chain, or ends it
+// so that it is tried anew.
+func (x *Relayer) fail(ctx context.Context, l identifier.Life, detail string) {
+	attempts := x.attempts(func(a *attempt) bool { return a.uses(l) })
+	x.Log.WithField("endpoint", l.Endpoint).WithField("reason", detail).WithField("streams", len(attempts)).Warn("endpoint taken as dead for its streams")
+	x.moveAll(ctx, attempts, &stageError{
+		life:   l,
+		detail: detail,
+	})
+}
+
+// blame moves the attempts that an endpoint reports as held up by another stage.
+func (x *Relayer) blame(ctx context.Context, r director.Report) {
+	for id, address := range r.Stalled {
+		attempts := x.attempts(func(a *attempt) bool { return a.stream.job.Request.ID == id })
+		if len(attempts) == 0 {
+			continue
+		}
+		l := lifeAt(attempts[0].chain(), address)
+		x.Log.WithField("endpoint", l.Endpoint).WithField("request", id).Warn("endpoint holds a stream up")
+		x.moveAll(ctx, attempts, &stageError{
+			life:   l,
+			detail: "holds the stream up",
+		})
+	}
+}
+
+func (x *Relayer) moveAll(ctx context.Context, attempts []*attempt, cause *stageError) {
+	var group errgroup.Group
+	for _, a := range attempts {
+		group.Go(func() error {
+			a.move(ctx, cause)
+			return nil
+		})
+	}
+	// Attempts that can't be moved are ended; there is no other error.
+	_ = group.Wait()
+}
+
+// lifeAt returns the life of the chain's stage with the address, or the first.
+func lifeAt(chain []identifier.Stage, address string) identifier.Life {
+	for _, s := range chain {
+		if s.Address == address {
+			return s.Life
 		}
 	}
-	x.Log.WithField("endpoint", l.Endpoint).WithField("reason", detail).WithField("streams", n).Warn("endpoint taken as dead for its streams")
+	return chain[0].Life
 }
--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -6,6 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,13 +34,31 @@
 	started bool
 	ran     bool
 	runs    int
-	tries   int
-	avoid   []identifier.Life
+	tries   atomic.Int64
 	// last is the last event that the caller holds.
-	last int64
+	last atomic.Int64
 	// passed counts the events that were passed on.
 	passed int64
 	timing timing
+	// chain is the last that was used.
+	chain []identifier.Stage
+
+	mu    sync.Mutex
+	avoid []identifier.Life
+}
+
+// avoided returns the endpoints that have failed the request.
+func (s *stream) avoided() []identifier.Life {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.avoid)
+}
+
+// shun notes that an endpoint has failed the request.
+func (s *stream) shun(l identifier.Life) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoid = append(s.avoid, l)
 }
 
 // timing is what a stream's caller saw.
@@ -62,7 +84,7 @@
 	t.latest = now
 }
 
-// triesLimit bounds the sends of one request, those that did not run included.
+// triesLimit bounds the chains of one request, those that did not run it included.
 const triesLimit = 8
 
 func (s *stream) run(ctx context.Context) error {
@@ -74,7 +96,7 @@
 		}
 		again := s.mayRepeat(ctx, err)
 		if !errors.Is(ctx.Err(), context.Canceled) {
-			s.relayer.Log.WithFields(s.job.fields()).WithError(err).WithField("last", s.last).WithField("again", again).Warn("stream broken off by its chain")
+			s.relayer.Log.WithFields(s.job.fields()).WithError(err).WithField("last", s.last.Load()).WithField("again", again).Warn("stream broken off by its chain")
 		}
 		if !again {
 			return end(ctx, s.ran, err)
@@ -92,15 +114,25 @@
 		"queued-ms":  s.timing.queued.Milliseconds(),
 		"first-ms":   s.timing.first.Milliseconds(),
 		"longest-ms": s.timing.longest.Milliseconds(),
-		"tries":      s.tries,
+		"tries":      s.tries.Load(),
 		"events":     s.passed,
+		"chain":      describe(s.chain),
 	}).Info("stream was late")
 }
 
+// describe writes a chain for the log.
+func describe(chain []identifier.Stage) string {
+	parts := make([]string, 0, len(chain))
+	for _, s := range chain {
+		parts = append(parts, fmt.Sprintf("%s:%d-%d", s.Endpoint, s.From, s.To))
+	}
+	return strings.Join(parts, " ")
+}
+
 // mayRepeat reports whether the request may go to another chain.
 func (s *stream) mayRepeat(ctx context.Context, err error) bool {
 	var kind *classifier.Error
-	if ctx.Err() != nil || errors.As(err, &kind) || errors.Is(err, errCaller) || s.tries >= triesLimit {
+	if ctx.Err() != nil || errors.As(err, &kind) || errors.Is(err, errCaller) || s.tries.Load() >= triesLimit {
 		return false
 	}
 	notRun := errors.Is(err, exchanger.ErrNotSent) || errors.Is(err, errNotRun)
@@ -118,7 +150,6 @@
 
 // attempt gets a chain and reads its answer to the end.
 func (s *stream) attempt(ctx context.Context) error {
-	s.tries++
 	asked := time.Now()
 	ticket, err := s.relayer.Tickets.Acquire(ctx, s.job.Service, s.ask())
 	s.timing.queued += time.Since(asked)
@@ -132,18 +163,21 @@
 		begun:  time.Now(),
 	}
 	err = a.run(ctx)
-	ticket.Release(a.outcome())
+	used := a.finish()
+	used.Release(a.outcome())
+	s.chain = used.Chain
 	if a.fault.Endpoint != "" {
-		s.avoid = append(s.avoid, a.fault)
+		s.shun(a.fault)
 	}
 	return err
 }
 
+// ask returns a question for a chain. It may be called while the stream runs.
 func (s *stream) ask() *messenger.Ask {
 	r := s.job.Request
-	held := s.last * int64(s.engine.Stride)
+	held := s.last.Load() * int64(s.engine.Stride)
 	a := &messenger.Ask{
-		Request:      fmt.Sprintf("%s.%d", r.ID, s.tries),
+		Request:      fmt.Sprintf("%s.%d", r.ID, s.tries.Add(1)),
 		Customer:     string(s.job.Customer),
 		Rank:         string(RankOf(s.job.Order)),
 		Weight:       1,
@@ -151,13 +185,10 @@
 		OutputTokens: max(int64(r.Output)-held, 1),
 		Prefix:       xxhash.Sum64String(r.Prefix),
 		DataCentre:   string(s.relayer.DataCentre),
-		Resumed:      s.started,
+		Resumed:      s.last.Load() > r.After,
 	}
-	for _, l := range s.avoid {
-		a.Avoid = append(a.Avoid, &messenger.Mark{
-			Endpoint:    string(l.Endpoint),
-			Incarnation: uint64(l.Incarnation),
-		})
+	for _, l := range s.avoided() {
+		a.Avoid = append(a.Avoid, markOf(l))
 	}
 	return a
 }
@@ -170,12 +201,19 @@
 // attempt is the use of one chain.
 type attempt struct {
 	stream *stream
-	ticket *acquirer.Ticket
 	first  int64
 	begun  time.Time
 	fault  identifier.Life
 	answer *exchanger.Answer
 	cancel context.CancelCauseFunc
+	// latest is when the last event came; nil before the first.
+	latest atomic.Pointer[time.Time]
+
+	// moving is set while the stream is moved to another chain.
+	moving atomic.Bool
+	mu     sync.Mutex
+	ticket *acquirer.Ticket
+	ended  bool
 }
 
 // stageError says which stage of a chain is at fault.
@@ -197,7 +235,7 @@
 	defer x.leave(a)
 	err := a.open(ctx)
 	if err == nil {
-		err = a.pass(ctx)
+		err = a.pass()
 	}
 	var stage *stageError
 	if cause := context.Cause(ctx); err != nil && errors.As(cause, &stage) {
@@ -212,20 +250,18 @@
 // open sends the request to the chain's first stage and reads the answer's head.
 func (a *attempt) open(ctx context.Context) error {
 	s := a.stream
-	chain := a.ticket.Chain
+	chain := a.chain()
 	send := courier.Send{
 		Endpoint: chain[0].Endpoint,
 		Customer: s.job.Customer,
 		Left:     time.Until(s.job.Deadline),
 		Order:    s.job.Order,
-		After:    s.last,
+		After:    s.last.Load(),
 	}
 	if s.engine.Layers > 0 {
 		send.Chain = chain
 	}
-	stop := a.watch(ctx, s.job.Route.Target)
 	answer, err := s.relayer.Exchanger.Open(ctx, s.relayer.call(s.job, chain[0].Address, send))
-	stop()
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
 		s.relayer.Exchanger.Forget(chain[0].Address)
@@ -253,14 +289,14 @@
 	if said.NotRun {
 		status := a.answer.Status
 		a.answer.Discard()
-		return a.blame(errors.Wrapf(errNotRun, "status %d, at fault %q", status, said.AtFault), a.at(said.AtFault))
+		return a.blame(errors.Wrapf(errNotRun, "status %d, at fault %q", status, said.AtFault), lifeAt(a.chain(), said.AtFault))
 	}
 	s.ran = true
 	s.runs++
 	if a.answer.Status >= http.StatusInternalServerError && (s.started || (s.job.Route.Repetition.Repeatable() && s.runs < s.job.Route.Attempts)) {
 		status := a.answer.Status
 		a.answer.Discard()
-		return a.blame(errors.Wrapf(errFailed, "status %d", status), a.at(said.AtFault))
+		return a.blame(errors.Wrapf(errFailed, "status %d", status), lifeAt(a.chain(), said.AtFault))
 	}
 	if a.answer.Status != http.StatusOK && s.started {
 		status := a.answer.Status
@@ -273,16 +309,6 @@
 	return nil
 }
 
-// at returns the life of the chain's stage with the address, or the first.
-func (a *attempt) at(address string) identifier.Life {
-	for _, st := range a.ticket.Chain {
-		if st.Address == address {
-			return st.Life
-		}
-	}
-	return a.ticket.Chain[0].Life
-}
-
 // begin sends the caller the head of the answer.
 func (s *stream) begin(a *exchanger.Answer) {
 	s.started = true
@@ -294,25 +320,24 @@
 }
 
 // pass passes the answer's events on, whole and in order.
-func (a *attempt) pass(ctx context.Context) error {
+func (a *attempt) pass() error {
 	s := a.stream
 	if a.answer.Status != http.StatusOK {
 		return a.copy()
 	}
 	out := http.NewResponseController(s.w)
 	events := &splitter{reader: bufio.NewReader(a.answer)}
-	w := a.watcher(ctx)
-	defer w.stop()
 	for {
-		w.reset(s.job.Route.Gap)
 		e, err := events.next()
+		now := time.Now()
+		a.latest.Store(&now)
 		if errors.Is(err, io.EOF) {
 			a.answer.Close(s.relayer.Codec.Answer(s.job.Request, a.answer.Status, a.answer.Header).Idle)
 			return nil
 		}
 		if err != nil {
 			a.answer.Discard()
-			a.fault = a.ticket.Chain[0].Life
+			a.fault = a.chain()[0].Life
 			return errors.Wrap(exchanger.ErrLost, err.Error())
 		}
 		if err := s.take(out, e); err != nil {
@@ -325,11 +350,11 @@
 // take passes one event on, unless the caller holds it.
 func (s *stream) take(out *http.ResponseController, e event) error {
 	if e.id != 0 {
-		if e.id <= s.last {
+		if e.id <= s.last.Load() {
 			return nil
 		}
-		if e.id != s.last+1 {
-			return errors.Errorf("event %d follows event %d", e.id, s.last)
+		if e.id != s.last.Load()+1 {
+			return errors.Errorf("event %d follows event %d", e.id, s.last.Load())
 		}
 	}
 	if _, err := s.w.Write(e.bytes); err != nil {
@@ -339,7 +364,7 @@
 		return errors.Wrap(errCaller, err.Error())
 	}
 	if e.id != 0 {
-		s.last = e.id
+		s.last.Store(e.id)
 	}
 	s.passed++
 	s.timing.note(time.Now())
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -54,6 +54,10 @@
 func (p *Pool) judge(now time.Time, f *flight, o Outcome) {
 	if o.Failed.Endpoint != "" {
 		old := p.failed[o.Failed]
+		if now.Before(old.until) {
+			// One fault breaks many streams; it counts once.
+			return
+		}
 		pause := min(failedPause<<min(old.inRow, maxDoublings), failedLimit)
 		p.failed[o.Failed] = failure{
 			inRow: old.inRow + 1,
@@ -97,6 +101,7 @@
 		Output:  identifier.Tokens(math.Ceil(p.predict(a))),
 		Entry:   a.Entry,
 		Avoid:   a.Avoid,
+		First:   a.First,
 	})
 	if picked == nil {
 		return nil
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -35,6 +35,8 @@
 	// Prefix identifies the start of the prompt; 0 means none worth keeping.
 	Prefix uint64
 	Avoid  []identifier.Life
+	// First, if it is set, is the life that the chain must begin with.
+	First identifier.Life
 	// Resumed is set if the caller holds a part of the answer already: such a
 	// request is never refused for load.
 	Resumed bool
--- a/router/scheduler/scheduler_test.go
+++ b/router/scheduler/scheduler_test.go
@@ -224,3 +224,27 @@
 		})
 	}
 }
+
+// TestOneFaultManyStreams requires that an endpoint that breaks many streams at
+// once gets no work for as long as after one broken stream, and no longer.
+func TestOneFaultManyStreams(t *testing.T) {
+	p := newPool(3)
+	now := time.Unix(0, 0)
+	for i := range 4 {
+		p.Ask(now, ask(i, "batch"))
+	}
+	decisions := p.Decide(now)
+	for _, d := range decisions {
+		p.Release(now, d.Request, scheduler.Outcome{Failed: d.Chain[1].Life})
+	}
+	p.Ask(now, ask(9, "batch"))
+	got := time.Duration(0)
+	for ; got < time.Minute; got += 100 * time.Millisecond {
+		if len(p.Decide(now.Add(got))) > 0 {
+			break
+		}
+	}
+	if want := 1100 * time.Millisecond; len(decisions) != 4 || got > want {
+		t.Errorf("%d streams broken: got no work for %v, want 4 and at most %v", len(decisions), got, want)
+	}
+}
--- a/router/site.go
+++ b/router/site.go
@@ -230,6 +230,7 @@
 	Dialer     *dialer.Dialer
 	Observer   *observer.Observer
 	Receiver   *receiver.Receiver
+	Relayer    *relayer.Relayer
 	Exchanger  *exchanger.Exchanger
 	Conductor  *conductor.Conductor
 	Reporter   *reporter.Reporter
@@ -286,6 +287,7 @@
 	s.group.Go(func() error { return p.Acquirer.Run(ctx) })
 	s.group.Go(func() error { return p.Conductor.Run(ctx) })
 	s.group.Go(func() error { return servePeers(ctx, peers, p.Controller, p.Granter) })
+	s.group.Go(func() error { return p.Relayer.Watch(ctx) })
 	s.group.Go(func() error { return s.sweep(ctx) })
 	s.group.Go(func() error { return s.hangups(ctx) })
 	s.group.Go(func() error { return watchParts(ctx, p.Log, down) })
