Mend a chain in place, and book the time in which prompts are read

Change: planner.Mend replaces only the stages at fault (Ask.moves names the ticket); each grant books its stages' reading time, which the next plans see as backlog.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -163,6 +163,11 @@
 	}
 }
 
+// Request returns the request's name at the owner.
+func (t *Ticket) Request() string {
+	return t.ask.GetRequest()
+}
+
 // Release gives the ticket back.
 func (t *Ticket) Release(o Outcome) {
 	t.revoke()
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -21,12 +21,7 @@
 		Prefix:   a.GetPrefix(),
 		Version:  identifier.Version(a.GetVersion()),
 		Resumed:  a.GetResumed(),
-	}
-	if f := a.GetFirst(); f != nil {
-		ask.First = identifier.Life{
-			Endpoint:    identifier.Endpoint(f.GetEndpoint()),
-			Incarnation: identifier.Incarnation(f.GetIncarnation()),
-		}
+		Moves:    identifier.Request(a.GetMoves()),
 	}
 	if a.GetFree() {
 		ask.Tier = identifier.Free
--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -22,6 +22,8 @@
 	PrefillTime time.Duration
 	// Running counts the streams in flight.
 	Running int
+	// Backlog is how long prompts that were given before keep the endpoint reading.
+	Backlog time.Duration
 	// Cached is how many of the request's prompt tokens the endpoint has cached.
 	Cached identifier.Tokens
 }
@@ -49,14 +51,6 @@
 	Entry identifier.DataCentre
 	// Avoid lists endpoint lives that must not be used.
 	Avoid []identifier.Life
-	// First, if it is set, is the life that the chain must begin with. It has the
-	// request already, so that it needs no free slot for it.
-	First identifier.Life
-}
-
-// begins reports whether a chain may begin with r.
-func (n *Need) begins(r *Runner) bool {
-	return r.From == 0 && (n.First.Endpoint == "" || n.First == r.Life)
 }
 
 // node is the cheapest way to reach the end of one runner's layers.
@@ -99,7 +93,7 @@
 func enter(runners []Runner, nodes []node, order []int, i int, links Links, need Need) {
 	r := &runners[i]
 	own := work(r, need)
-	if need.begins(r) {
+	if r.From == 0 {
 		nodes[i].cost = own + hop(links, need.Entry, r.DataCentre, need)
 	}
 	for _, j := range order {
@@ -139,10 +133,7 @@
 }
 
 func usable(r *Runner, need Need) bool {
-	if r.Version != need.Version || r.To > need.Layers {
-		return false
-	}
-	if r.Running >= r.Slots && r.Life != need.First {
+	if r.Version != need.Version || r.Running >= r.Slots || r.To > need.Layers {
 		return false
 	}
 	return !slices.Contains(need.Avoid, r.Life)
@@ -161,9 +152,13 @@
 	load := float64(r.Running+1) / float64(r.Slots)
 	token := float64(r.TokenTime) * (fixedPart + loadedPart*load)
 	prompt := float64(max(need.Prompt-r.Cached, 0)) * float64(r.PrefillTime)
-	return prompt + token*float64(need.Output)*(1+load*load)
+	return prompt + backlogWeight*float64(r.Backlog) + token*float64(need.Output)*(1+load*load)
 }
 
+// backlogWeight is how much more a wait for the first token counts than time
+// spent on later ones.
+const backlogWeight = 4
+
 // hop is the time that the request's tokens spend on one link.
 func hop(links Links, from, to identifier.DataCentre, need Need) float64 {
 	return float64(links.Delay(from, to)) * float64(need.Output)
@@ -216,3 +211,7 @@
 	}
 	return next == layers && layers > 0
 }
+
+func scaled(d time.Duration, by float64) time.Duration {
+	return time.Duration(float64(d) * by)
+}
--- a/router/relayer/move.go
+++ b/router/relayer/move.go
@@ -27,6 +27,13 @@
 	return a.ticket.Chain
 }
 
+// request returns the name of the ticket that the attempt uses now.
+func (a *attempt) request() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ticket.Request()
+}
+
 // move has the first stage go on over a chain without the stage at fault. If
 // that can't be, or the first stage is itself at fault, the attempt is ended.
 func (a *attempt) move(ctx context.Context, cause *stageError) {
@@ -43,7 +50,7 @@
 	}
 	avoid := []identifier.Life{cause.life}
 	for range moveTries {
-		at, err := a.tryMove(ctx, chain[0], avoid)
+		at, err := a.tryMove(ctx, avoid)
 		if err == nil {
 			return
 		}
@@ -58,11 +65,11 @@
 
 // tryMove gets a chain with the same first stage and orders the stream onto it.
 // After director.ErrPart it returns the stage that could not take part.
-func (a *attempt) tryMove(ctx context.Context, first identifier.Stage, avoid []identifier.Life) (identifier.Life, error) {
+func (a *attempt) tryMove(ctx context.Context, avoid []identifier.Life) (identifier.Life, error) {
 	x := a.stream.relayer
 	ask := a.stream.ask()
 	ask.Resumed = true
-	ask.First = markOf(first.Life)
+	ask.Moves = a.request()
 	for _, l := range avoid {
 		ask.Avoid = append(ask.Avoid, markOf(l))
 	}
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -26,6 +26,11 @@
 	p.prepare()
 	p.runners = p.runners[:0]
 	clear(p.foreign)
+	reading := make(map[identifier.Life]time.Time, len(reports))
+	for _, r := range reports {
+		reading[r.Life] = p.reading[r.Life]
+	}
+	p.reading = reading
 	for _, r := range reports {
 		p.runners = append(p.runners, r.Runner)
 		p.foreign[r.Life] = max(r.Reported-p.own[r.Life], 0)
@@ -37,6 +42,7 @@
 	for i := range p.runners {
 		r := &p.runners[i]
 		r.Running = p.own[r.Life] + p.foreign[r.Life]
+		r.Backlog = max(p.reading[r.Life].Sub(now), 0)
 		if now.Before(p.failed[r.Life].until) {
 			r.Running = max(r.Running, r.Slots)
 		}
@@ -76,12 +82,25 @@
 // maxDoublings bounds how often the pause of a failing endpoint doubles.
 const maxDoublings = 6
 
-func (p *Pool) bump(l identifier.Life) {
-	for i := range p.runners {
-		if p.runners[i].Life == l {
-			p.runners[i].Running++
-		}
+// bump counts a stream that starts on a stage, and the time in which the stage
+// reads its prompt.
+func (p *Pool) bump(now time.Time, s identifier.Stage, prompt identifier.Tokens) {
+	r := p.runner(s.Life)
+	if r == nil {
+		return
+	}
+	r.Running++
+	part := float64(s.To-s.From) / float64(max(r.To-r.From, 1))
+	read := time.Duration(part * float64(prompt) * float64(r.PrefillTime))
+	p.reading[s.Life] = later(p.reading[s.Life], now).Add(read)
+	r.Backlog = p.reading[s.Life].Sub(now)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // plan chooses a chain for a; nil if there is none now.
@@ -93,6 +112,9 @@
 	if a.Version != "" {
 		version = a.Version
 	}
+	if a.Moves != "" {
+		return p.mend(a, version)
+	}
 	picked := planner.Best(p.runners, slowed{pool: p}, planner.Need{
 		Layers:  p.policy.Layers,
 		Partial: p.policy.Partial,
@@ -101,7 +123,6 @@
 		Output:  identifier.Tokens(math.Ceil(p.predict(a))),
 		Entry:   a.Entry,
 		Avoid:   a.Avoid,
-		First:   a.First,
 	})
 	if picked == nil {
 		return nil
@@ -113,6 +134,29 @@
 	return chain
 }
 
+// mend returns the chain of a request in flight with other stages in place of
+// those that it avoids, or that are gone; nil if that can't be.
+func (p *Pool) mend(a Ask, version identifier.Version) []identifier.Stage {
+	f, ok := p.flights[a.Moves]
+	if !ok {
+		return nil
+	}
+	need := planner.Need{
+		Layers:  p.policy.Layers,
+		Partial: p.policy.Partial,
+		Version: version,
+		Prompt:  a.Prompt,
+		Output:  identifier.Tokens(math.Ceil(p.predict(a))),
+		Entry:   a.Entry,
+		Avoid:   a.Avoid,
+	}
+	chain := planner.Mend(p.runners, slowed{pool: p}, need, f.chain)
+	if !planner.Check(chain, p.policy.Layers, version) {
+		return nil
+	}
+	return chain
+}
+
 // meets reports whether a chain, with all slots in use, makes tokens at the
 // target of class c.
 func (p *Pool) meets(c *class, chain []identifier.Stage) bool {
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -35,8 +35,9 @@
 	// Prefix identifies the start of the prompt; 0 means none worth keeping.
 	Prefix uint64
 	Avoid  []identifier.Life
-	// First, if it is set, is the life that the chain must begin with.
-	First identifier.Life
+	// Moves, if it is set, is a request in flight whose chain is to be changed no
+	// more than needed, and to keep its first stage.
+	Moves identifier.Request
 	// Resumed is set if the caller holds a part of the answer already: such a
 	// request is never refused for load.
 	Resumed bool
@@ -94,10 +95,12 @@
 type Pool struct {
 	policy Policy
 
-	runners   []planner.Runner
-	foreign   map[identifier.Life]int
-	own       map[identifier.Life]int
-	failed    map[identifier.Life]failure
+	runners []planner.Runner
+	foreign map[identifier.Life]int
+	own     map[identifier.Life]int
+	failed  map[identifier.Life]failure
+	// reading is until when each endpoint reads the prompts that it was given.
+	reading   map[identifier.Life]time.Time
 	classes   map[classKey]*class
 	order     []*class
 	flights   map[identifier.Request]*flight
@@ -188,6 +191,7 @@
 	p.foreign = make(map[identifier.Life]int)
 	p.own = make(map[identifier.Life]int)
 	p.failed = make(map[identifier.Life]failure)
+	p.reading = make(map[identifier.Life]time.Time)
 	p.classes = make(map[classKey]*class)
 	p.flights = make(map[identifier.Request]*flight)
 	p.waiting = make(map[identifier.Request]*entry)
@@ -384,7 +388,7 @@
 	}
 	for _, s := range chain {
 		p.own[s.Life]++
-		p.bump(s.Life)
+		p.bump(now, s, e.ask.Prompt)
 		p.prefixes.note(e.ask.Prefix, s.Life, e.ask.Prompt)
 	}
 }
