Repair copies by their neighbours; newcomers wait for a place

Cause: with one copy in a data centre an endpoint that died left a hole for six seconds and more, and all its streams crossed the pipes; in a release the new endpoint came a second before the old one left and took layers that were held twice, so the old one's stayed empty. Change: the neighbours of layers that a copy lacks take them over besides, and give them up when they are held again; an endpoint that has just come takes only layers that are short for three seconds; endpoints that the instance has found dead count as gone for placement. Where an empty endpoint goes is chosen by the room of the whole group after it.

--- a/router/placer/placer_test.go
+++ b/router/placer/placer_test.go
@@ -82,7 +82,7 @@
 	e := engine()
 	fleet := append(endpoints("a", "large", 1), endpoints("a", "middle", 6)...)
 	fleet = append(fleet, endpoints("a", "small", 5)...)
-	after := apply(fleet, placer.Plan(e, fleet))
+	after := apply(fleet, placer.Plan(e, fleet, nil))
 	// 420 GB hold three copies of 120 GB only with little room: two are wanted,
 	// and what they leave is 180 GB, 225 requests of 0.8 GB.
 	got, want := room(e, after, "a"), 190
@@ -96,13 +96,13 @@
 func TestReturned(t *testing.T) {
 	e := engine()
 	fleet := append(endpoints("a", "large", 2), endpoints("a", "small", 4)...)
-	after := apply(fleet, placer.Plan(e, fleet))
+	after := apply(fleet, placer.Plan(e, fleet, nil))
 	for i := range after {
 		lost := after[i]
 		hole := append([]cataloguer.Endpoint(nil), after...)
 		hole[i].From, hole[i].To = 0, 0
 		hole[i].Incarnation++
-		again := apply(hole, placer.Plan(e, hole))
+		again := apply(hole, placer.Plan(e, hole, nil))
 		if room(e, again, "a") <= 0 {
 			t.Errorf("%s came back and took %d-%d: got no whole copy, want %d-%d", lost.Endpoint, again[i].From, again[i].To, lost.From, lost.To)
 		}
@@ -115,7 +115,7 @@
 	e := engine()
 	fleet := append(endpoints("a", "large", 1), endpoints("b", "large", 1)...)
 	fleet = append(fleet, endpoints("c", "middle", 1)...)
-	after := apply(fleet, placer.Plan(e, fleet))
+	after := apply(fleet, placer.Plan(e, fleet, nil))
 	for l := range e.Layers {
 		held := 0
 		for _, p := range after {
@@ -149,7 +149,7 @@
 				limits += e.LayerLimit(fleet[i].Accelerator)
 			}
 		}
-		plan := placer.Plan(e, fleet)
+		plan := placer.Plan(e, fleet, nil)
 		for _, p := range fleet {
 			r, ok := plan[p.Life]
 			if ok && (p.Leaving || r.From < 0 || r.To > e.Layers || r.To-r.From > e.LayerLimit(p.Accelerator)) {
@@ -166,12 +166,62 @@
 				t.Errorf("layer %d: got no holder, want one: memory holds %d layers of %d", l, limits, e.Layers)
 			}
 		}
-		if again := placer.Plan(e, after); len(again) > 0 && len(plan) > 0 {
-			for l := range again {
-				if r, ok := plan[l]; ok {
-					t.Errorf("%s holds %v and was planned again", l, r)
-				}
-			}
+		for range 10 {
+			plan = placer.Plan(e, after, nil)
+			after = apply(after, plan)
+		}
+		if len(plan) > 0 {
+			t.Errorf("got orders %v after ten plans, want the fleet to come to rest", plan)
 		}
 	})
 }
+
+// TestHole requires that layers that are lost with an endpoint of a copy are
+// taken over by its neighbours, and given up again once it is back.
+func TestHole(t *testing.T) {
+	e := engine()
+	fleet := append(endpoints("a", "large", 1), endpoints("a", "small", 7)...)
+	after := apply(fleet, placer.Plan(e, fleet, nil))
+	for i := range after {
+		lost := after[i]
+		if lost.Accelerator == "large" || lost.To == e.Layers {
+			// The neighbours of the largest have too little memory, and the last
+			// layers have only one.
+			continue
+		}
+		left := append([]cataloguer.Endpoint(nil), after...)
+		left = append(left[:i], left[i+1:]...)
+		left = apply(left, placer.Plan(e, left, nil))
+		if got := room(e, left, "a"); got < 8 {
+			t.Errorf("without %s, which held %d-%d: got room for %d, want 8 or more", lost.Endpoint, lost.From, lost.To, got)
+		}
+		lost.From, lost.To = 0, 0
+		back := append(left, lost)
+		back = apply(back, placer.Plan(e, back, nil))
+		back = apply(back, placer.Plan(e, back, nil))
+		if got, want := room(e, back, "a"), room(e, after, "a")*3/4; got < want {
+			t.Errorf("%s is back: got room for %d, want %d or more", lost.Endpoint, got, want)
+		}
+	}
+}
+
+// TestNewcomer requires that an endpoint that has just come waits for the
+// layers of the one that it may be about to replace, and then takes just them.
+func TestNewcomer(t *testing.T) {
+	e := engine()
+	fleet := append(endpoints("a", "large", 2), endpoints("a", "middle", 6)...)
+	after := apply(fleet, placer.Plan(e, fleet, nil))
+	next := endpoints("a", "middle", 1)[0]
+	next.Endpoint = "new"
+	grown := append(append([]cataloguer.Endpoint(nil), after...), next)
+	newcomers := map[identifier.Life]bool{next.Life: true}
+	if got, ok := placer.Plan(e, grown, newcomers)[next.Life]; ok {
+		t.Errorf("before one leaves: got layers %v, want none", got)
+	}
+	old := &grown[4]
+	old.Leaving = true
+	got := placer.Plan(e, grown, newcomers)[next.Life]
+	if want := (placer.Range{From: old.From, To: old.To}); got != want {
+		t.Errorf("after %s left: got %v, want %v", old.Endpoint, got, want)
+	}
+}
--- a/router/site.go
+++ b/router/site.go
@@ -134,7 +134,7 @@
 	}
 }
 
-func newConductor(s *loader.Settings, o *observer.Observer, store *storer.Client, orders *orderer.Client, log logrus.FieldLogger) *conductor.Conductor {
+func newConductor(s *loader.Settings, o *observer.Observer, store *storer.Client, orders *orderer.Client, x *relayer.Relayer, log logrus.FieldLogger) *conductor.Conductor {
 	return &conductor.Conductor{
 		Observer: o,
 		Lease: &leaser.Lease{
@@ -145,6 +145,7 @@
 			Term:   leaseTerm,
 		},
 		Orders: orders,
+		Dead:   x.Dead,
 		Log:    log,
 	}
 }
