--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -98,12 +98,37 @@
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			s.relayer.Log.WithFields(s.job.fields()).WithError(err).WithField("last", s.last.Load()).WithField("again", again).Warn("stream broken off by its chain")
 		}
-		if !again {
+		if !again && !s.waits(ctx, err) {
 			return end(ctx, s.ran, err)
 		}
 	}
 }
 
+// resumePause is how long a stream that no chain takes on waits before it is
+// tried again.
+const resumePause = 250 * time.Millisecond
+
+// waits reports whether a stream that can't be tried again at once is kept for
+// later: its caller holds a part of it, and it may still be run. It returns
+// after a pause, once the retry budget allows another try.
+func (s *stream) waits(ctx context.Context, err error) bool {
+	if !s.started || errors.Is(err, errCaller) || !s.job.Route.Repetition.Repeatable() || s.runs >= s.job.Route.Attempts {
+		return false
+	}
+	t := time.NewTicker(resumePause)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+		}
+		if s.relayer.budget(s.job.Service).Spend() {
+			return true
+		}
+	}
+}
+
 // report logs a stream that was whole and late.
 func (s *stream) report() {
 	route := s.job.Route
