--- a/router/site.go
+++ b/router/site.go
@@ -265,10 +265,18 @@
 		cancel()
 		return err
 	}
+	callers, err := listenHTTP(ctx, p.Settings.Listen.Caller, "", "")
+	if err != nil {
+		cancel()
+		return err
+	}
 	s.caller = newHTTPServer(p.Settings, p.Receiver, nil)
 	s.caller.IdleTimeout = p.Settings.Caller.IdleTimeout.Std()
+	s.group.Go(func() error {
+		s.limit(ctx)
+		return serveHTTP(ctx, s.caller, callers)
+	})
 	servers := map[string]*http.Server{
-		p.Settings.Listen.Caller:   s.caller,
 		p.Settings.Listen.Ready:    newHTTPServer(p.Settings, http.HandlerFunc(p.Receiver.Ready), nil),
 		p.Settings.Listen.Operator: newHTTPServer(p.Settings, s.operator(), nil),
 	}
@@ -294,6 +302,36 @@
 	return nil
 }
 
+// limitWait is how long callers wait at most for an instance that starts to
+// learn their limits; then those of the settings hold.
+const limitWait = 500 * time.Millisecond
+
+// limit sets the callers' limits as operators have declared them.
+func (s *site) limit(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, limitWait)
+	defer cancel()
+	t := time.NewTicker(limitWait / 25)
+	defer t.Stop()
+	for s.parts.Observer.View().Site == nil {
+		select {
+		case <-ctx.Done():
+			s.parts.Log.Warn("callers' limits not known in time; those of the settings hold")
+			return
+		case <-t.C:
+		}
+	}
+	limits := s.parts.Observer.View().Site.Limits
+	if limits.HeaderTimeout > 0 {
+		s.caller.ReadHeaderTimeout = limits.HeaderTimeout
+	}
+	if limits.IdleTimeout > 0 {
+		s.caller.IdleTimeout = limits.IdleTimeout
+	}
+	if limits.HeaderBytes > 0 {
+		s.caller.MaxHeaderBytes = limits.HeaderBytes
+	}
+}
+
 // operator serves metrics.
 func (s *site) operator() http.Handler {
 	r := mux.NewRouter()
