Earn retries before they are spent

Ruled out: the ratio (0.12 a request of 0.2). Change: an instance starts with two retries, earns the rest, and its share of the burst follows the instances that it knows.

--- a/router/components.go
+++ b/router/components.go
@@ -186,6 +186,7 @@
 	return &streamer.Budget{
 		Ratio: retryRatio,
 		Burst: retryBurst,
+		Saved: retryBurst,
 	}
 }
 
--- a/router/relayer/relayer.go
+++ b/router/relayer/relayer.go
@@ -78,9 +78,16 @@
 // answerLimit bounds the answer of a plain service, in bytes.
 const answerLimit = 16 << 20
 
+// savedAtStart is how many retries an instance may make before its requests
+// have earned any: one that has just started does not know yet how many others
+// share the burst.
+const savedAtStart = 2
+
 // budget returns the retry budget of a service; its burst is this instance's
 // share of what all may save up.
 func (x *Relayer) budget(s identifier.Service) *streamer.Budget {
+	live := len(x.Observer.View().Live)
+	burst := x.RetryBurst / float64(max(live, 1))
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.budgets == nil {
@@ -88,13 +95,13 @@
 	}
 	b, ok := x.budgets[s]
 	if !ok {
-		live := len(x.Observer.View().Live)
 		b = &streamer.Budget{
 			Ratio: x.RetryRatio,
-			Burst: x.RetryBurst / float64(max(live, 1)),
+			Saved: savedAtStart,
 		}
 		x.budgets[s] = b
 	}
+	b.Bound(burst)
 	return b
 }
 
--- a/router/streamer/budget.go
+++ b/router/streamer/budget.go
@@ -10,25 +10,34 @@
 	Ratio float64
 	// Burst is how many retries may be saved up.
 	Burst float64
+	// Saved is how many are saved up at the start.
+	Saved float64
 
-	mu    sync.Mutex
-	spent float64
+	mu sync.Mutex
 }
 
 // Earn notes a fresh request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.spent = max(b.spent-b.Ratio, 0)
+	b.Saved = min(b.Saved+b.Ratio, b.Burst)
+}
+
+// Bound changes how many retries may be saved up.
+func (b *Budget) Bound(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Burst = burst
+	b.Saved = min(b.Saved, burst)
 }
 
 // Spend takes one retry, or reports that there is none left.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > b.Burst {
+	if b.Saved < 1 {
 		return false
 	}
-	b.spent++
+	b.Saved--
 	return true
 }
--- a/router/streamer/streamer_test.go
+++ b/router/streamer/streamer_test.go
@@ -100,6 +100,7 @@
 		Budget: &streamer.Budget{
 			Ratio: 1,
 			Burst: 100,
+			Saved: 100,
 		},
 		Log:     log,
 		Leaving: func(identifier.Life) {},
