Name the overcommitted memory for what it is; test the estimator

The names said that a safe part of the memory was given out where it is a tenth more than all, and a factor of 1 multiplied the slots. Behaviour is unchanged.

--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -25,21 +25,16 @@
 			Version: p.Version,
 		},
 		DataCentre:  p.DataCentre,
-		Slots:       max(int(slack*float64(slots)), 1),
-		Room:        identifier.Tokens(safePart * e.Room(p.Accelerator, p.To-p.From)),
+		Slots:       max(slots, 1),
+		Room:        identifier.Tokens(overcommit * e.Room(p.Accelerator, p.To-p.From)),
 		TokenTime:   scale(step(e, slots), kind.Pace*share),
 		PrefillTime: scale(e.Read, kind.Read*share),
 	}
 }
 
-const (
-	// safePart is the part of the memory for requests that is given out, since
-	// answers may be longer than predicted.
-	safePart = 1.1
-	// slack is how many more requests than the usual ones are let in where they
-	// are small: memory is counted in tokens.
-	slack = 1.0
-)
+// overcommit is how much more than the memory for requests is given out: few of
+// them are at their longest at the same time.
+const overcommit = 1.1
 
 // Slots returns how many requests of the usual size an accelerator that holds
 // n layers has room for at once.
--- /dev/null
+++ b/router/estimator/estimator_test.go
@@ -0,0 +1,72 @@
+package estimator_test
+
+import (
+	"testing"
+	"time"
+
+	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/router/estimator"
+)
+
+func engine() *cataloguer.Engine {
+	return &cataloguer.Engine{
+		Slots:        100,
+		Step:         time.Millisecond,
+		Read:         10 * time.Microsecond,
+		Layers:       40,
+		LayerBytes:   1e9,
+		ContextBytes: 1e6,
+		Prompt:       900,
+		Answer:       200,
+		PipeRate:     1e9,
+		Accelerators: map[cataloguer.Accelerator]cataloguer.Kind{
+			"k": {
+				Bytes: 30e9,
+				Pace:  3,
+				Read:  2,
+			},
+		},
+		ActivationBytes: 1e4,
+		Delays: []cataloguer.Delay{{
+			From: "a",
+			To:   "b",
+			Time: time.Millisecond,
+		}},
+	}
+}
+
+// TestRunner requires that times scale with the kind of accelerator and the share
+// of the layers, and room with the memory that these leave.
+func TestRunner(t *testing.T) {
+	p := &cataloguer.Endpoint{
+		Accelerator: "k",
+		From:        10,
+		To:          30,
+	}
+	r := estimator.Runner(engine(), p)
+	// Half of the layers leave 10 GB, and a usual request of 1,000 tokens takes
+	// 0.5 GB of them.
+	if got, want := r.Slots, 20; got != want {
+		t.Errorf("slots: got %d, want %d", got, want)
+	}
+	if got, want := r.TokenTime, 1500*time.Microsecond; got != want {
+		t.Errorf("token time: got %v, want %v", got, want)
+	}
+	if got, want := r.PrefillTime, 10*time.Microsecond; got != want {
+		t.Errorf("prompt token time: got %v, want %v", got, want)
+	}
+}
+
+// TestLinks requires that only what crosses between data centres takes time.
+func TestLinks(t *testing.T) {
+	l := estimator.Links{Engine: engine()}
+	if got, want := l.Delay("b", "a"), time.Millisecond; got != want {
+		t.Errorf("delay: got %v, want %v", got, want)
+	}
+	if got := l.Transfer("a", "a", 1000); got != 0 {
+		t.Errorf("transfer within a data centre: got %v, want 0", got)
+	}
+	if got, least := l.Transfer("a", "b", 1000), 10*time.Millisecond; got < least {
+		t.Errorf("transfer of 10 MB at 1 GB/s: got %v, want %v or more", got, least)
+	}
+}
