Count links and faults into the bound of a replay

Ruled out: a fault of the policy. After both links of a data centre have turned slow, chains across data centres cost 50 ms a token and no way of joining the slots makes more than the new bound; the owner is at it at once.

--- a/replayer/simulator/simulator.go
+++ b/replayer/simulator/simulator.go
@@ -43,6 +43,15 @@
 	SlowDelay time.Duration
 }
 
+// Apply sets the delay of the link that f slows, both ways.
+func (l Links) Apply(f Fault) {
+	if f.SlowDelay <= 0 {
+		return
+	}
+	l[f.Slow] = f.SlowDelay
+	l[[2]identifier.DataCentre{f.Slow[1], f.Slow[0]}] = f.SlowDelay
+}
+
 // Run is one replay. Set the exported fields first.
 type Run struct {
 	Policy  Policy
