Have one stream try a failed endpoint again, not all that wait

Ruled out: late detection (all nine instances took it as dead 0.06 s after its crash). Change: after the pause one stream tries the endpoint; others follow once it has lasted 0.4 s.

--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -37,52 +37,20 @@
 	}
 }
 
-// effective sets each runner's load; one that just failed counts as full.
+// effective sets each runner's load; one that just failed counts as full, but
+// for one stream that tries it again.
 func (p *Pool) effective(now time.Time) {
 	for i := range p.runners {
 		r := &p.runners[i]
 		r.Running = p.own[r.Life] + p.foreign[r.Life]
 		r.Held = p.held[r.Life]
 		r.Backlog = max(p.reading[r.Life].Sub(now), 0)
-		if now.Before(p.failed[r.Life].until) {
-			r.Running = max(r.Running, r.Slots)
+		if f, ok := p.failed[r.Life]; ok {
+			r.Running = max(r.Running, r.Slots-f.open(now, r.Slots))
 		}
 	}
 }
 
-// failure is what is held against an endpoint.
-type failure struct {
-	inRow int
-	until time.Time
-}
-
-// judge keeps work from the endpoint that broke a stream, for longer each time,
-// and clears the others that took part in a stream that did not break.
-func (p *Pool) judge(now time.Time, f *flight, o Outcome) {
-	if o.Failed.Endpoint != "" {
-		old := p.failed[o.Failed]
-		if now.Before(old.until) {
-			// One fault breaks many streams; it counts once.
-			return
-		}
-		pause := min(failedPause<<min(old.inRow, maxDoublings), failedLimit)
-		p.failed[o.Failed] = failure{
-			inRow: old.inRow + 1,
-			until: now.Add(pause),
-		}
-		return
-	}
-	if o.Tokens == 0 {
-		return
-	}
-	for _, s := range f.chain {
-		delete(p.failed, s.Life)
-	}
-}
-
-// maxDoublings bounds how often the pause of a failing endpoint doubles.
-const maxDoublings = 6
-
 // bump counts a stream that starts on a stage, and the time in which the stage
 // reads its prompt.
 func (p *Pool) bump(now time.Time, s identifier.Stage, f *flight) {
@@ -91,6 +59,9 @@
 		return
 	}
 	r.Running++
+	if p.try(now, s.Life, f.ask.Request) {
+		r.Running = max(r.Running, r.Slots)
+	}
 	r.Held += f.tokens
 	part := float64(s.To-s.From) / float64(max(r.To-r.From, 1))
 	read := time.Duration(part * float64(f.ask.Prompt) * float64(r.PrefillTime))
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -147,10 +147,6 @@
 	lengthGain = 0.2
 	// recentWindow is how long a token counts towards a class's recent share.
 	recentWindow = 5 * time.Second
-	// failedPause is how long an endpoint that broke a stream gets no work; it
-	// doubles with each failure in a row, up to failedLimit.
-	failedPause = time.Second
-	failedLimit = time.Minute
 	// avoidFor is how long a request waits for a chain without the endpoints
 	// that failed it; then any chain will do.
 	avoidFor = 2 * failedPause
