Count the part of an endpoint that a stream uses, not all of it

Change: a stream takes that part of places and memory which it uses, and a chain is judged by the layers in it.

--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -96,9 +96,8 @@
 // enter finds the cheapest predecessor of runner i.
 func enter(runners []Runner, nodes []node, order []int, i int, links Links, need Need) {
 	r := &runners[i]
-	own := work(r, need)
-	if r.From == 0 {
-		nodes[i].cost = own + hop(links, need.Entry, r.DataCentre, need)
+	if r.From == 0 && roomy(r, need, 1) {
+		nodes[i].cost = work(r, need, 1) + hop(links, need.Entry, r.DataCentre, need)
 	}
 	for _, j := range order {
 		p := &runners[j]
@@ -109,7 +108,10 @@
 			continue
 		}
 		part := float64(r.To-p.To) / float64(r.To-r.From)
-		cost := nodes[j].cost + own*part + hop(links, p.DataCentre, r.DataCentre, need) + transfer(links, p.DataCentre, r.DataCentre, need)
+		if !roomy(r, need, part) {
+			continue
+		}
+		cost := nodes[j].cost + work(r, need, part) + hop(links, p.DataCentre, r.DataCentre, need) + transfer(links, p.DataCentre, r.DataCentre, need)
 		if cost < nodes[i].cost {
 			nodes[i].cost = cost
 			nodes[i].prev = j
@@ -140,12 +142,14 @@
 	if r.Version != need.Version || r.Running >= r.Slots || r.To > need.Layers {
 		return false
 	}
-	if r.Room > 0 && r.Held+need.Tokens() > r.Room {
-		return false
-	}
 	return !slices.Contains(need.Avoid, r.Life)
 }
 
+// roomy reports whether r has memory for a request that uses a part of its layers.
+func roomy(r *Runner, need Need, part float64) bool {
+	return r.Room <= 0 || r.Held+identifier.Tokens(part*float64(need.Tokens())) <= r.Room
+}
+
 // growthPart is the part of an answer that a request holds on average while it
 // is written.
 const growthPart = 0.5
@@ -162,12 +166,13 @@
 	loadedPart = 0.5
 )
 
-// work is the time that the request spends in r: its prompt and its tokens at
-// the load that it makes, and the crowding that it brings to the others.
-func work(r *Runner, need Need) float64 {
+// work is the time that the request spends in r, of whose layers it uses a part:
+// its prompt and its tokens at the load that it makes, and the crowding that it
+// brings to the others.
+func work(r *Runner, need Need, part float64) float64 {
 	load := float64(r.Running+1) / float64(r.Slots)
-	token := float64(r.TokenTime) * (fixedPart + loadedPart*load)
-	prompt := float64(max(need.Prompt-r.Cached, 0)) * float64(r.PrefillTime)
+	token := part * float64(r.TokenTime) * (fixedPart + loadedPart*load)
+	prompt := part * float64(max(need.Prompt-r.Cached, 0)) * float64(r.PrefillTime)
 	return prompt + backlogWeight*float64(r.Backlog) + token*float64(need.Output)*(1+load*load)
 }
 
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -33,7 +33,7 @@
 	p.reading = reading
 	for _, r := range reports {
 		p.runners = append(p.runners, r.Runner)
-		p.foreign[r.Life] = max(r.Reported-p.own[r.Life], 0)
+		p.foreign[r.Life] = max(r.Reported-p.loads[r.Life].streams, 0)
 	}
 }
 
@@ -42,8 +42,9 @@
 func (p *Pool) effective(now time.Time) {
 	for i := range p.runners {
 		r := &p.runners[i]
-		r.Running = p.own[r.Life] + p.foreign[r.Life]
-		r.Held = p.held[r.Life]
+		l := p.loads[r.Life]
+		r.Running = l.running() + p.foreign[r.Life]
+		r.Held = l.tokens
 		r.Backlog = max(p.reading[r.Life].Sub(now), 0)
 		if f, ok := p.failed[r.Life]; ok {
 			r.Running = max(r.Running, r.Slots-f.open(now, r.Slots))
@@ -53,18 +54,17 @@
 
 // bump counts a stream that starts on a stage, and the time in which the stage
 // reads its prompt.
-func (p *Pool) bump(now time.Time, s identifier.Stage, f *flight) {
+func (p *Pool) bump(now time.Time, s identifier.Stage, part float64, f *flight) {
 	r := p.runner(s.Life)
 	if r == nil {
 		return
 	}
-	r.Running++
+	r.Running = p.loads[s.Life].running() + p.foreign[s.Life]
 	if p.try(now, s.Life, f.ask.Request) {
 		r.Running = max(r.Running, r.Slots)
 	}
-	r.Held += f.tokens
-	part := float64(s.To-s.From) / float64(max(r.To-r.From, 1))
-	read := time.Duration(part * float64(f.ask.Prompt) * float64(r.PrefillTime))
+	r.Held += partOf(f.tokens, part)
+	read := partOf(time.Duration(f.ask.Prompt)*r.PrefillTime, part)
 	p.reading[s.Life] = later(p.reading[s.Life], now).Add(read)
 	r.Backlog = p.reading[s.Life].Sub(now)
 }
@@ -127,7 +127,7 @@
 }
 
 // meets reports whether a chain, with all slots in use, makes tokens at the
-// target of class c.
+// target of class c. Of an endpoint's layers only those in the chain count.
 func (p *Pool) meets(c *class, chain []identifier.Stage) bool {
 	target := p.policy.Ranks[c.key.rank].BetweenTokens.Std()
 	total := time.Duration(0)
@@ -137,7 +137,7 @@
 		if r == nil {
 			return false
 		}
-		total += r.TokenTime
+		total += partOf(r.TokenTime, p.part(s))
 		if i > 0 {
 			if before := p.runner(chain[i-1].Life); before != nil {
 				total += links.Delay(before.DataCentre, r.DataCentre)
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -97,9 +98,8 @@
 
 	runners []planner.Runner
 	foreign map[identifier.Life]int
-	own     map[identifier.Life]int
-	// held is the tokens of memory that the pool\'s own tickets reserve.
-	held   map[identifier.Life]identifier.Tokens
+	// loads is what the pool's own tickets take of endpoints.
+	loads  map[identifier.Life]load
 	failed map[identifier.Life]failure
 	// reading is until when each endpoint reads the prompts that it was given.
 	reading   map[identifier.Life]time.Time
@@ -128,9 +128,11 @@
 
 // flight is a request that holds a chain.
 type flight struct {
-	ask     Ask
-	class   *class
-	chain   []identifier.Stage
+	ask   Ask
+	class *class
+	chain []identifier.Stage
+	// parts has, for each stage, the part of its endpoint's layers that it uses.
+	parts   []float64
 	cost    float64
 	tokens  identifier.Tokens
 	since   time.Time
@@ -188,8 +190,7 @@
 		return
 	}
 	p.foreign = make(map[identifier.Life]int)
-	p.own = make(map[identifier.Life]int)
-	p.held = make(map[identifier.Life]identifier.Tokens)
+	p.loads = make(map[identifier.Life]load)
 	p.failed = make(map[identifier.Life]failure)
 	p.reading = make(map[identifier.Life]time.Time)
 	p.classes = make(map[classKey]*class)
@@ -247,17 +248,23 @@
 // admit refuses what is over its customer's queue limit or can't start in time.
 func (p *Pool) admit(now time.Time, c *class, e *entry, rank declarer.Rank) bool {
 	if c.length(e.ask.Customer) >= rank.QueueLimit {
-		p.refuse(e.ask.Request, classifier.Overloaded, "the customer's queue for this rank is full", rank.MaxWait.Std())
+		p.refuse(e.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", rank.QueueLimit), rank.MaxWait.Std())
 		return false
 	}
 	wait := p.estimate(now, c, e)
 	if wait > rank.MaxWait.Std() {
-		p.refuse(e.ask.Request, classifier.Overloaded, "the request could not start in time", wait-rank.MaxWait.Std())
+		p.refuse(e.ask.Request, classifier.Overloaded, p.tooLong(wait, rank), wait-rank.MaxWait.Std())
 		return false
 	}
 	return true
 }
 
+// tooLong says why a request could not start in time.
+func (p *Pool) tooLong(wait time.Duration, rank declarer.Rank) string {
+	return fmt.Sprintf("the request could not start in time: a wait of %v is expected behind %d waiting and %d running requests, and at most %v is allowed",
+		wait.Round(time.Millisecond), len(p.waiting), len(p.flights), rank.MaxWait.Std())
+}
+
 func (p *Pool) refuse(r identifier.Request, kind classifier.Kind, detail string, after time.Duration) {
 	p.decided = append(p.decided, Decision{
 		Verdict:    Refused,
@@ -287,13 +294,8 @@
 		return
 	}
 	delete(p.flights, r)
-	for _, s := range f.chain {
-		p.own[s.Life]--
-		p.held[s.Life] -= f.tokens
-		if p.own[s.Life] == 0 {
-			delete(p.own, s.Life)
-			delete(p.held, s.Life)
-		}
+	for i, s := range f.chain {
+		p.unload(s.Life, f.parts[i], f.tokens)
 	}
 	p.judge(now, f, o)
 	used := float64(f.ask.Prompt)*promptWeight + float64(o.Tokens)
@@ -392,9 +394,10 @@
 	}
 	p.flights[e.ask.Request] = f
 	for _, s := range chain {
-		p.own[s.Life]++
-		p.held[s.Life] += f.tokens
-		p.bump(now, s, f)
+		part := p.part(s)
+		f.parts = append(f.parts, part)
+		p.load(s.Life, part, f.tokens)
+		p.bump(now, s, part, f)
 		p.prefixes.note(e.ask.Prefix, s.Life, e.ask.Prompt)
 	}
 }
@@ -404,7 +407,7 @@
 	for _, c := range p.order {
 		for _, e := range c.expired(now) {
 			delete(p.waiting, e.ask.Request)
-			kind, detail := classifier.Overloaded, "the request waited past its limit"
+			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited past its limit of %v", p.policy.Ranks[c.key.rank].MaxWait.Std())
 			if !p.covered() {
 				kind, detail = classifier.NoChain, "no chain of endpoints covers every layer"
 			}
@@ -425,7 +428,7 @@
 
 // Uses reports whether a request in flight runs on a life.
 func (p *Pool) Uses(l identifier.Life) bool {
-	return p.own[l] > 0
+	return p.loads[l].streams > 0
 }
 
 // Holds reports whether a request holds a chain.
