Tell each request's story in the logs, bounded, with metrics and operator explain

Cause: the log had lines of failures only, without the inputs that decided them, on standard error, and a reader that stopped would have stopped the router; few metrics; nothing that puts the lines of several instances together; a router that could not start ended without a word. Change: one line for each request's end and each failed attempt, with what it was decided by; a writer that never waits and counts what it drops, warnings last; counters and histograms by service, order and outcome; operator explain; one line when the instance list is lost and one when it is back; a failed start is told; docs/OPERATIONS.md, held against the code both ways by TestOperationsPage. Tests: TestReaderStops, TestFlush, TestStory, FuzzExplain, TestOperationsPage, TestStartFails (silent before).

--- a/core/classifier/classifier_test.go
+++ b/core/classifier/classifier_test.go
@@ -14,9 +14,9 @@
 	"heatherhold.dev/core/classifier"
 )
 
-// TestPage holds the table of docs/OPERATING.md against the code.
+// TestPage holds the table of docs/OPERATIONS.md against the code.
 func TestPage(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/operator/explainer/explainer_test.go
@@ -0,0 +1,72 @@
+package explainer_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"heatherhold.dev/operator/explainer"
+)
+
+// first and second are the logs of two instances; times cross between them.
+const first = `
+{"chain":"e1:0-4 e2:4-8","customer":"c","error":"e2 does not answer","instance":"r1","level":"warning","msg":"attempt failed","request":"q1","time":"2026-05-01T10:00:02.000200Z"}
+no log line
+{"endpoint":"e2","instance":"r1","level":"warning","msg":"endpoint taken as dead for its streams","time":"2026-05-01T10:00:02.000100Z"}
+{"endpoint":"e9","instance":"r1","level":"info","msg":"endpoint is new","time":"2026-05-01T10:00:02.000100Z"}
+{"chain":"e9:0-8","instance":"r1","level":"info","msg":"request served","request":"q2","time":"2026-05-01T10:00:02.000300Z"}
+`
+
+const second = `collector r2 | {"held-ms":900,"instance":"r2","kind":"overloaded","level":"warning","msg":"request not served","request":"q1","status":429,"time":"2026-05-01T10:00:03.5Z"}
+{"instance":"r2","level":"warning","msg":"platform store lost; going on with what is known","time":"2026-05-01T10:00:02.9Z"}
+{"instance":"r2","level":"warning","msg":"platform store lost; going on with what is known","time":"2026-05-01T09:59:00Z"}
+`
+
+// TestStory puts the lines of two instances in order, and beside them only what
+// touches the request.
+func TestStory(t *testing.T) {
+	s, err := explainer.Explain("q1", strings.NewReader(first), strings.NewReader(second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range s.Lines {
+		got = append(got, fmt.Sprintf("%s %s %t", l.Instance, l.Event, l.Aside))
+	}
+	want := []string{
+		"r1 endpoint taken as dead for its streams true",
+		"r1 attempt failed false",
+		"r2 platform store lost; going on with what is known true",
+		"r2 request not served false",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("got\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+	if got, want := s.Outcome, "request not served"; got != want {
+		t.Errorf("got outcome %q, want %q", got, want)
+	}
+	// The text above starts with an empty line.
+	if got, want := s.Skipped, 2; got != want {
+		t.Errorf("got %d lines skipped, want %d", got, want)
+	}
+}
+
+// TestUnknown says so of a request that no line names.
+func TestUnknown(t *testing.T) {
+	_, err := explainer.Explain("q7", strings.NewReader(first))
+	if !errors.Is(err, explainer.ErrUnknown) {
+		t.Errorf("got error %v, want %v", err, explainer.ErrUnknown)
+	}
+}
+
+func FuzzExplain(f *testing.F) {
+	f.Add(first + second)
+	f.Add(`{"time":3,"msg":"x"}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := explainer.Explain("q1", strings.NewReader(text))
+		if err == nil && len(s.Lines) == 0 {
+			t.Error("got a story without lines and no error")
+		}
+	})
+}
--- a/operator/main.go
+++ b/operator/main.go
@@ -110,6 +110,7 @@
 		t.getCommand(),
 		t.statusCommand(),
 		t.drainCommand(),
+		t.explainCommand(),
 		hashCommand(),
 	)
 	return root
--- a/router/components.go
+++ b/router/components.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"os"
 	"time"
 
@@ -11,6 +12,7 @@
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.uber.org/fx"
+	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/claimer"
@@ -22,6 +24,7 @@
 	"heatherhold.dev/router/granter"
 	"heatherhold.dev/router/keeper"
 	"heatherhold.dev/router/loader"
+	"heatherhold.dev/router/logger"
 	"heatherhold.dev/router/looper"
 	"heatherhold.dev/router/observer"
 	"heatherhold.dev/router/overseer"
@@ -59,18 +62,43 @@
 	fx.Invoke(wireController),
 )
 
-func newLog(s *loader.Settings) (logrus.FieldLogger, error) {
-	log := logrus.New()
-	log.SetOutput(os.Stderr)
+// logTime is how log lines say when: to the microsecond, so that lines of one
+// instance keep their order.
+const logTime = "2006-01-02T15:04:05.000000Z07:00"
+
+// newLog returns the log, which goes to standard output and never waits for it.
+func newLog(s *loader.Settings, lc fx.Lifecycle) (logrus.FieldLogger, *logger.Writer, error) {
 	level, err := logrus.ParseLevel(s.LogLevel)
 	if err != nil {
-		return nil, errors.Wrap(err, "log-level")
+		return nil, nil, errors.Wrap(err, "log-level")
 	}
-	log.SetLevel(level)
+	var format logrus.Formatter = &logrus.TextFormatter{TimestampFormat: logTime}
 	if s.LogFormat == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		format = &logrus.JSONFormatter{TimestampFormat: logTime}
 	}
-	return log.WithField("instance", s.Instance), nil
+	w := logger.New(os.Stdout, format)
+	log := logrus.New()
+	log.SetLevel(level)
+	log.SetOutput(io.Discard)
+	log.AddHook(w)
+	runLog(w, lc)
+	return log.WithField("instance", s.Instance), w, nil
+}
+
+// runLog writes log lines from the start of the application to its end.
+func runLog(w *logger.Writer, lc fx.Lifecycle) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			group.Go(func() error { return w.Run(ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return group.Wait()
+		},
+	})
 }
 
 func newPlatform(s *loader.Settings) keeper.Platform {
--- a/router/conductor/conductor.go
+++ b/router/conductor/conductor.go
@@ -48,7 +48,9 @@
 	Observer *observer.Observer
 	Lease    Lease
 	Orders   Orders
-	Log      logrus.FieldLogger
+	// Placed, if it is set, is called for each order that an endpoint has taken.
+	Placed func()
+	Log    logrus.FieldLogger
 
 	// ordered has the endpoints that were given an order, what they should
 	// hold, and when.
@@ -226,5 +228,8 @@
 		log.WithError(err).Warn("placement order not confirmed")
 		return
 	}
+	if c.Placed != nil {
+		c.Placed()
+	}
 	log.WithField("fence", c.fence).Info("placement ordered")
 }
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -41,18 +41,22 @@
 	Granter   *granter.Granter
 	// Source, if it is set, is where configuration and list come from.
 	Source *Source
-	Log    logrus.FieldLogger
+	// Exchanged, if it is set, is told of each exchange with another instance.
+	Exchanged func(error)
+	Log       logrus.FieldLogger
 
 	incarnation uint64
 
 	state  *spreader.State
 	listed []messenger.Listed
-	built  identifier.Revision
-	parsed *declarer.Declaration
-	index  *authenticator.Index
-	edits  uint64
-	site   *cataloguer.Configuration
-	fleet  fleet
+	// listLost is set while the list is not read; only the goroutine that reads it uses it.
+	listLost bool
+	built    identifier.Revision
+	parsed   *declarer.Declaration
+	index    *authenticator.Index
+	edits    uint64
+	site     *cataloguer.Configuration
+	fleet    fleet
 	// head is the newest configuration that the platform was seen to have.
 	head identifier.Revision
 	live []identifier.Instance
@@ -213,6 +217,9 @@
 		return nil, 0, err
 	}
 	reply, err := c.Dialer.Exchange(ctx, m.GetAddress(), request)
+	if c.Exchanged != nil {
+		c.Exchanged(err)
+	}
 	if err != nil {
 		return nil, 0, err
 	}
--- a/router/controller/platform.go
+++ b/router/controller/platform.go
@@ -29,9 +29,16 @@
 	}
 	listed, err := c.Platform.List(ctx)
 	if err != nil {
-		c.Log.WithError(err).Warn("instance list not read; the last one stays in use")
+		if !c.listLost {
+			c.Log.WithError(err).Warn("instance list not read; the last one stays in use")
+		}
+		c.listLost = true
 		return
 	}
+	if c.listLost {
+		c.listLost = false
+		c.Log.Info("instance list read again")
+	}
 	c.Loop.Post(func() {
 		c.update(func(now time.Time) { c.takeList(now, listed) })
 	})
--- a/router/main.go
+++ b/router/main.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -51,6 +53,24 @@
 	if err := app.Err(); err != nil {
 		return err
 	}
-	app.Run()
+	return runApp(app)
+}
+
+// runApp runs the application until a signal or a part that fails ends it.
+func runApp(app *fx.App) error {
+	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancel()
+	if err := app.Start(start); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	end := <-app.Wait()
+	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	if err := app.Stop(stop); err != nil {
+		return errors.Wrap(err, "stop")
+	}
+	if end.ExitCode != 0 {
+		return errors.New("a part failed; the log says which")
+	}
 	return nil
 }
--- a/router/observer/observer.go
+++ b/router/observer/observer.go
@@ -38,6 +38,15 @@
 	Fleet map[identifier.Service][]cataloguer.Endpoint
 }
 
+// Size returns how many endpoints are listed for all services.
+func (v *View) Size() int {
+	n := 0
+	for _, list := range v.Fleet {
+		n += len(list)
+	}
+	return n
+}
+
 // Delay returns the declared delay between two data centres.
 func (v *View) Delay(from, to identifier.DataCentre) time.Duration {
 	if v.Declaration == nil || from == to {
@@ -84,6 +93,11 @@
 	return now.Before(*o.confirmed.Load())
 }
 
+// ConfirmedUntil returns until when the instance may decide.
+func (o *Observer) ConfirmedUntil() time.Time {
+	return *o.confirmed.Load()
+}
+
 // Confirm sets until when the instance may decide.
 func (o *Observer) Confirm(until time.Time) {
 	o.confirmed.Store(&until)
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -68,6 +68,7 @@
 	if started {
 		// A part of the answer is out: only a broken connection tells the
 		// caller that it is not whole.
+		x.Log.WithField("request", request.ID).WithField("held-ms", time.Since(request.Received).Milliseconds()).WithError(err).Warn("answer broken off")
 		panic(http.ErrAbortHandler)
 	}
 	x.refuse(w, r, request, err)
@@ -164,12 +165,14 @@
 func (x *Receiver) refuse(w http.ResponseWriter, r *http.Request, request *courier.Request, err error) {
 	e := classifier.Classify(err)
 	fields := logrus.Fields{
-		"request": request.ID,
-		"kind":    e.Kind,
-		"status":  classifier.AnswerOf(e.Kind).Status,
+		"request":  request.ID,
+		"kind":     e.Kind,
+		"status":   classifier.AnswerOf(e.Kind).Status,
+		"revision": x.Observer.View().Revision,
+		"held-ms":  time.Since(request.Received).Milliseconds(),
 	}
 	if errors.Is(r.Context().Err(), context.Canceled) {
-		x.Log.WithFields(fields).WithError(err).Debug("caller went away")
+		x.Log.WithFields(fields).WithError(err).Info("caller went away")
 		panic(http.ErrAbortHandler)
 	}
 	x.Log.WithFields(fields).WithError(err).Warn("request not served")
--- a/router/relayer/move.go
+++ b/router/relayer/move.go
@@ -54,7 +54,7 @@
 		if err == nil {
 			return
 		}
-		a.stream.relayer.Log.WithFields(a.stream.job.fields()).WithError(err).WithField("avoided", cause.life.Endpoint).Info("stream not moved to another chain")
+		a.stream.relayer.log(a.stream.job).WithError(err).WithField("avoided", cause.life.Endpoint).Info("stream not moved to another chain")
 		if !errors.Is(err, director.ErrPart) || at.Endpoint == "" || at == chain[0].Life {
 			break
 		}
@@ -80,7 +80,7 @@
 	address, err := x.Orders.Repath(ctx, a.stream.job.Request.ID, ticket.Chain)
 	if err != nil {
 		ticket.Release(acquirer.Outcome{})
-		return lifeAt(ticket.Chain, address), err
+		return stageAt(ticket.Chain, address).Life, err
 	}
 	a.change(ticket, avoid[0])
 	return identifier.Life{}, nil
@@ -99,8 +99,9 @@
 		ticket.Release(acquirer.Outcome{})
 		return
 	}
+	a.stream.relayer.Reporter.Moved(a.stream.job.Service)
 	old.Release(acquirer.Outcome{Failed: failed})
-	a.stream.relayer.Log.WithFields(a.stream.job.fields()).WithField("avoided", failed.Endpoint).Info("stream moved to another chain")
+	a.stream.relayer.log(a.stream.job).WithField("avoided", failed.Endpoint).WithField("chain", describe(ticket.Chain)).Info("stream moved to another chain")
 }
 
 // finish returns the ticket in use; after it the attempt is not moved any more.
--- a/router/relayer/plain.go
+++ b/router/relayer/plain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/courier"
@@ -22,6 +23,7 @@
 	job     Job
 	w       http.ResponseWriter
 	started bool
+	late    bool
 	// ran is set once an endpoint may have run the request, and runs counts those.
 	ran   bool
 	runs  int
@@ -51,11 +53,17 @@
 		a, err := p.attempt(ctx, e)
 		p.relayer.Balancer.Done(time.Now(), e.Life, outcome(ctx, a, err))
 		if err == nil {
+			p.report(e, a)
 			return p.write(a)
 		}
 		p.avoid = append(p.avoid, e.Life)
-		again := ctx.Err() == nil && p.mayRepeat(err) && p.relayer.budget(p.job.Service).Spend()
-		p.relayer.Log.WithFields(p.job.fields()).WithError(err).WithField("endpoint", e.Endpoint).WithField("again", again).Warn("endpoint gave no good answer")
+		again := ctx.Err() == nil && p.mayRepeat(err) && p.relayer.repeats(p.job.Service)
+		p.relayer.log(p.job).WithError(err).WithFields(logrus.Fields{
+			"endpoint": e.Endpoint,
+			"runs":     p.runs,
+			"left-ms":  time.Until(p.job.Deadline).Milliseconds(),
+			"again":    again,
+		}).Warn("attempt failed")
 		if again {
 			continue
 		}
@@ -66,6 +74,24 @@
 	}
 }
 
+// report logs an answer that is passed on.
+func (p *plain) report(e cataloguer.Endpoint, a *whole) {
+	taken := time.Since(p.job.Request.Received)
+	log := p.relayer.log(p.job).WithFields(logrus.Fields{
+		"endpoint": e.Endpoint,
+		"status":   a.status,
+		"tries":    len(p.avoid) + 1,
+		"taken-ms": taken.Milliseconds(),
+	})
+	p.relayer.Reporter.Answer(p.job.Service, taken)
+	if target := p.job.Route.Target; taken > target && target > 0 {
+		p.late = true
+		log.WithField("target-ms", target.Milliseconds()).Warn("request served late")
+		return
+	}
+	log.Info("request served")
+}
+
 func (p *plain) pick() (cataloguer.Endpoint, bool) {
 	x := p.relayer
 	return x.Balancer.Pick(time.Now(), x.Observer.View().Fleet[p.job.Service], x.DataCentre, p.avoid)
--- a/router/relayer/relayer.go
+++ b/router/relayer/relayer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	"heatherhold.dev/router/balancer"
 	"heatherhold.dev/router/exchanger"
 	"heatherhold.dev/router/observer"
+	"heatherhold.dev/router/reporter"
 	"heatherhold.dev/router/streamer"
 )
 
@@ -63,6 +65,7 @@
 	Codec      Codec
 	Orders     Orders
 	Balancer   *balancer.Balancer
+	Reporter   *reporter.Reporter
 	DataCentre identifier.DataCentre
 	// RetryRatio is how many retries a request earns, and RetryBurst how many
 	// may be saved up by all instances together.
@@ -100,11 +103,21 @@
 			Saved: savedAtStart,
 		}
 		x.budgets[s] = b
+		x.Reporter.Gauge(fmt.Sprintf(`heatherhold_retries_left{service=%q}`, s), b.Left)
 	}
 	b.Bound(burst)
 	return b
 }
 
+// repeats takes a retry out of a service's budget, or reports that none is left.
+func (x *Relayer) repeats(s identifier.Service) bool {
+	if !x.budget(s).Spend() {
+		return false
+	}
+	x.Reporter.Repeated(s)
+	return true
+}
+
 // Serve answers w with the answer of an endpoint. After an error with started
 // set, a part of an answer is out and the connection must be broken off.
 func (x *Relayer) Serve(ctx context.Context, w http.ResponseWriter, j Job) (started bool, err error) {
@@ -125,6 +138,7 @@
 		}
 		s.last.Store(j.Request.After)
 		err = s.run(ctx)
+		x.ended(j, err, s.late())
 		return s.started, err
 	}
 	p := &plain{
@@ -133,9 +147,22 @@
 		w:       w,
 	}
 	err = p.run(ctx)
+	x.ended(j, err, p.late)
 	return p.started, err
 }
 
+// ended counts the outcome of a request.
+func (x *Relayer) ended(j Job, err error, late bool) {
+	outcome := "ok"
+	switch {
+	case err != nil:
+		outcome = string(classifier.Classify(err).Kind)
+	case late:
+		outcome = "late"
+	}
+	x.Reporter.Ended(j.Service, j.Order, outcome)
+}
+
 // end returns the error for a request that is given up: after ran is set
 // nothing is promised.
 func end(ctx context.Context, ran bool, err error) error {
@@ -171,11 +198,14 @@
 	}
 }
 
-// fields are what each log line about the job bears.
-func (j Job) fields() logrus.Fields {
-	return logrus.Fields{
-		"request": j.Request.ID,
-		"route":   j.Route.Name,
-		"service": j.Service,
-	}
+// log returns a log whose lines bear what the job was decided by.
+func (x *Relayer) log(j Job) *logrus.Entry {
+	return x.Log.WithFields(logrus.Fields{
+		"request":  j.Request.ID,
+		"route":    j.Route.Name,
+		"service":  j.Service,
+		"customer": j.Customer,
+		"order":    j.Order,
+		"revision": x.Observer.View().Revision,
+	})
 }
--- a/router/relayer/silence.go
+++ b/router/relayer/silence.go
@@ -250,7 +250,7 @@
 		if len(attempts) == 0 {
 			continue
 		}
-		l := lifeAt(attempts[0].chain(), address)
+		l := stageAt(attempts[0].chain(), address).Life
 		x.Log.WithField("endpoint", l.Endpoint).WithField("request", id).Warn("endpoint holds a stream up")
 		x.moveAll(ctx, attempts, &stageError{
 			life:   l,
@@ -271,12 +271,12 @@
 	_ = group.Wait()
 }
 
-// lifeAt returns the life of the chain's stage with the address, or the first.
-func lifeAt(chain []identifier.Stage, address string) identifier.Life {
+// stageAt returns the chain's stage with the address, or the first.
+func stageAt(chain []identifier.Stage, address string) identifier.Stage {
 	for _, s := range chain {
 		if s.Address == address {
-			return s.Life
+			return s
 		}
 	}
-	return chain[0].Life
+	return chain[0]
 }
--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -23,6 +23,7 @@
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/exchanger"
+	"heatherhold.dev/router/reporter"
 )
 
 // stream is one request to a model service.
@@ -96,7 +97,7 @@
 		}
 		again := s.mayRepeat(ctx, err)
 		if !errors.Is(ctx.Err(), context.Canceled) {
-			s.relayer.Log.WithFields(s.job.fields()).WithError(err).WithField("last", s.last.Load()).WithField("again", again).Warn("stream broken off by its chain")
+			s.broken(err, again)
 		}
 		if !again && !s.waits(ctx, err) {
 			return end(ctx, s.ran, err)
@@ -104,6 +105,24 @@
 	}
 }
 
+// late reports whether the caller waited too long for the first event or for a
+// later one.
+func (s *stream) late() bool {
+	return s.timing.first > s.job.Route.Target || s.timing.longest > s.job.Route.Gap
+}
+
+// broken logs the end of an attempt that did not bring the whole answer.
+func (s *stream) broken(err error, again bool) {
+	s.relayer.log(s.job).WithError(err).WithFields(logrus.Fields{
+		"chain":     describe(s.chain),
+		"last":      s.last.Load(),
+		"runs":      s.runs,
+		"left-ms":   time.Until(s.job.Deadline).Milliseconds(),
+		"again":     again,
+		"queued-ms": s.timing.queued.Milliseconds(),
+	}).Warn("attempt failed")
+}
+
 // resumePause is how long a stream that no chain takes on waits before it is
 // tried again.
 const resumePause = 250 * time.Millisecond
@@ -123,26 +142,33 @@
 			return false
 		case <-t.C:
 		}
-		if s.relayer.budget(s.job.Service).Spend() {
+		if s.relayer.repeats(s.job.Service) {
 			return true
 		}
 	}
 }
 
-// report logs a stream that was whole and late.
+// report logs a stream that was whole.
 func (s *stream) report() {
 	route := s.job.Route
-	if s.timing.first <= route.Target && s.timing.longest <= route.Gap {
-		return
-	}
-	s.relayer.Log.WithFields(s.job.fields()).WithFields(logrus.Fields{
+	log := s.relayer.log(s.job).WithFields(logrus.Fields{
 		"queued-ms":  s.timing.queued.Milliseconds(),
 		"first-ms":   s.timing.first.Milliseconds(),
 		"longest-ms": s.timing.longest.Milliseconds(),
 		"tries":      s.tries.Load(),
 		"events":     s.passed,
 		"chain":      describe(s.chain),
-	}).Info("stream was late")
+	})
+	s.relayer.Reporter.Timed(s.job.Service, reporter.Stream{
+		Queued:  s.timing.queued,
+		First:   s.timing.first,
+		Longest: s.timing.longest,
+	})
+	if !s.late() {
+		log.Info("request served")
+		return
+	}
+	log.WithField("target-ms", route.Target.Milliseconds()).WithField("longest-pause-ms", route.Gap.Milliseconds()).Warn("request served late")
 }
 
 // describe writes a chain for the log.
@@ -167,7 +193,7 @@
 	if !notRun && s.runs >= s.job.Route.Attempts {
 		return false
 	}
-	return s.relayer.budget(s.job.Service).Spend()
+	return s.relayer.repeats(s.job.Service)
 }
 
 // errCaller says that the caller could not be written to.
@@ -314,14 +340,15 @@
 	if said.NotRun {
 		status := a.answer.Status
 		a.answer.Discard()
-		return a.blame(errors.Wrapf(errNotRun, "status %d, at fault %q", status, said.AtFault), lifeAt(a.chain(), said.AtFault))
+		at := stageAt(a.chain(), said.AtFault)
+		return a.blame(errors.Wrapf(errNotRun, "status %d, at fault %s", status, at.Endpoint), at.Life)
 	}
 	s.ran = true
 	s.runs++
 	if a.answer.Status >= http.StatusInternalServerError && (s.started || (s.job.Route.Repetition.Repeatable() && s.runs < s.job.Route.Attempts)) {
 		status := a.answer.Status
 		a.answer.Discard()
-		return a.blame(errors.Wrapf(errFailed, "status %d", status), lifeAt(a.chain(), said.AtFault))
+		return a.blame(errors.Wrapf(errFailed, "status %d", status), stageAt(a.chain(), said.AtFault).Life)
 	}
 	if a.answer.Status != http.StatusOK && s.started {
 		status := a.answer.Status
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -57,6 +57,71 @@
 	p.set.GetOrCreateCounter("heatherhold_connections_opened_total").Inc()
 }
 
+// Ended counts a request of a service by its urgency and its outcome: "ok",
+// "late" or an error kind.
+func (p *Reporter) Ended(s identifier.Service, order int, outcome string) {
+	p.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_requests_total{service=%q,order="%d",outcome=%q}`, s, order, outcome)).Inc()
+}
+
+// Stream is what the caller of one stream saw.
+type Stream struct {
+	// Queued is the time spent waiting for chains, First the time to the first
+	// event, and Longest the longest pause between two.
+	Queued  time.Duration
+	First   time.Duration
+	Longest time.Duration
+}
+
+// Timed notes a stream that was whole.
+func (p *Reporter) Timed(s identifier.Service, t Stream) {
+	p.seconds("heatherhold_queue_seconds", s, t.Queued)
+	p.seconds("heatherhold_first_event_seconds", s, t.First)
+	p.seconds("heatherhold_longest_pause_seconds", s, t.Longest)
+}
+
+// Answer notes how long a plain service's answer took.
+func (p *Reporter) Answer(s identifier.Service, d time.Duration) {
+	p.seconds("heatherhold_answer_seconds", s, d)
+}
+
+func (p *Reporter) seconds(name string, s identifier.Service, d time.Duration) {
+	p.set.GetOrCreateHistogram(fmt.Sprintf(`%s{service=%q}`, name, s)).Update(d.Seconds())
+}
+
+// Repeated counts what was sent to a further endpoint.
+func (p *Reporter) Repeated(s identifier.Service) {
+	p.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_repeats_total{service=%q}`, s)).Inc()
+}
+
+// Moved counts a stream that was moved to another chain.
+func (p *Reporter) Moved(s identifier.Service) {
+	p.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_moves_total{service=%q}`, s)).Inc()
+}
+
+// StoreCall notes a call of the platform's store.
+func (p *Reporter) StoreCall(name string, d time.Duration, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	p.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_store_calls_total{call=%q,outcome=%q}`, name, outcome)).Inc()
+	p.set.GetOrCreateHistogram(fmt.Sprintf(`heatherhold_store_call_seconds{call=%q}`, name)).Update(d.Seconds())
+}
+
+// Exchanged counts an exchange with another instance.
+func (p *Reporter) Exchanged(err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	p.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_exchanges_total{outcome=%q}`, outcome)).Inc()
+}
+
+// Placed counts a placement order that an endpoint has taken.
+func (p *Reporter) Placed() {
+	p.set.GetOrCreateCounter("heatherhold_placements_total").Inc()
+}
+
 // FirstToken notes the time to a first token.
 func (p *Reporter) FirstToken(rank string, d time.Duration) {
 	p.set.GetOrCreateHistogram(fmt.Sprintf(`heatherhold_first_token_seconds{rank=%q}`, rank)).Update(d.Seconds())
--- a/router/site.go
+++ b/router/site.go
@@ -1,19 +1,11 @@
 package main
 
 import (
-	"context"
-	"net/http"
-	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
-	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/platform/leaser"
@@ -31,6 +23,7 @@
 	"heatherhold.dev/router/exchanger"
 	"heatherhold.dev/router/granter"
 	"heatherhold.dev/router/loader"
+	"heatherhold.dev/router/logger"
 	"heatherhold.dev/router/looper"
 	"heatherhold.dev/router/observer"
 	"heatherhold.dev/router/receiver"
@@ -44,25 +37,15 @@
 	instancesTable = "heatherhold-instances"
 	leasesTable    = "heatherhold-leases"
 	placementLease = "placement"
-	// tables of the platform.
-	configurationTable = "op"
-	configurationKey   = "config"
-	endpointsTable     = "servers"
 )
 
 const (
-	// sweepInterval is how often unused connections to endpoints are looked at.
-	sweepInterval = time.Second
 	// orderTimeout is the longest wait for an endpoint's answer to an order.
 	orderTimeout = 500 * time.Millisecond
 	// endpointDialTimeout is the longest wait for a connection to an endpoint.
 	endpointDialTimeout = 300 * time.Millisecond
 	// leaseTerm is how long the lease for placement orders is held at a time.
 	leaseTerm = 5 * time.Second
-	// memoryPart is the part of the instance's memory that the heap may fill.
-	memoryPart = 0.7
-	// stopMargin is kept from the time that the platform grants for a stop.
-	stopMargin = 600 * time.Millisecond
 )
 
 // siteComponents builds the parts of a router on a platform that keeps
@@ -85,13 +68,14 @@
 		newReceiver,
 		newConductor,
 	),
-	fx.Invoke(wireSite, runSite),
+	fx.Invoke(wireSite, watchSite, runSite),
 )
 
-func newStore(s *loader.Settings) *storer.Client {
+func newStore(s *loader.Settings, p *reporter.Reporter) *storer.Client {
 	return &storer.Client{
 		Address: s.Store.Address,
 		Timeout: s.Platform.Timeout.Std(),
+		Observe: p.StoreCall,
 	}
 }
 
@@ -106,7 +90,7 @@
 	return &orderer.Client{Timeout: orderTimeout}
 }
 
-func newRelayer(s *loader.Settings, o *observer.Observer, a *acquirer.Acquirer, x *exchanger.Exchanger, orders *orderer.Client, log logrus.FieldLogger) *relayer.Relayer {
+func newRelayer(s *loader.Settings, o *observer.Observer, a *acquirer.Acquirer, x *exchanger.Exchanger, orders *orderer.Client, p *reporter.Reporter, log logrus.FieldLogger) *relayer.Relayer {
 	return &relayer.Relayer{
 		Observer:   o,
 		Tickets:    a,
@@ -114,6 +98,7 @@
 		Codec:      translator.Codec{},
 		Orders:     orders,
 		Balancer:   &balancer.Balancer{},
+		Reporter:   p,
 		DataCentre: s.DataCentre,
 		RetryRatio: s.Store.RetryRatio * retryShare,
 		RetryBurst: s.Store.RetryBurst * retryShare,
@@ -133,7 +118,7 @@
 	}
 }
 
-func newConductor(s *loader.Settings, o *observer.Observer, store *storer.Client, orders *orderer.Client, log logrus.FieldLogger) *conductor.Conductor {
+func newConductor(s *loader.Settings, o *observer.Observer, store *storer.Client, orders *orderer.Client, p *reporter.Reporter, log logrus.FieldLogger) *conductor.Conductor {
 	return &conductor.Conductor{
 		Observer: o,
 		Lease: &leaser.Lease{
@@ -144,12 +129,23 @@
 			Term:   leaseTerm,
 		},
 		Orders: orders,
+		Placed: p.Placed,
 		Log:    log,
 	}
 }
 
+// watchSite registers the values that are read when metrics are written.
+func watchSite(p *reporter.Reporter, o *observer.Observer, x *receiver.Receiver, w *logger.Writer) {
+	p.Gauge("heatherhold_active_requests", func() float64 { return float64(x.Active()) })
+	p.Gauge("heatherhold_revision", func() float64 { return float64(o.View().Revision) })
+	p.Gauge("heatherhold_live_instances", func() float64 { return float64(len(o.View().Live)) })
+	p.Gauge("heatherhold_confirmed_seconds", func() float64 { return time.Until(o.ConfirmedUntil()).Seconds() })
+	p.Gauge("heatherhold_log_lines_dropped", func() float64 { return float64(w.Dropped()) })
+	p.Gauge("heatherhold_endpoints", func() float64 { return float64(o.View().Size()) })
+}
+
 // wireSite gives the controller and the granter the platform.
-func wireSite(s *loader.Settings, c *controller.Controller, store *storer.Client, d *dialer.Dialer, o *observer.Observer, g *granter.Granter, log logrus.FieldLogger) {
+func wireSite(s *loader.Settings, c *controller.Controller, store *storer.Client, d *dialer.Dialer, o *observer.Observer, g *granter.Granter, p *reporter.Reporter, log logrus.FieldLogger) {
 	c.Dialer = d
 	c.Observer = o
 	c.Granter = g
@@ -157,14 +153,14 @@
 	c.Source = &controller.Source{
 		Configurations: &subscriber.Subscriber[controller.Site]{
 			Store:  store,
-			Table:  configurationTable,
+			Table:  translator.ConfigurationTable,
 			Wait:   s.Store.Wait.Std(),
 			Decode: decodeSite,
 			Log:    log,
 		},
 		Endpoints: &subscriber.Subscriber[cataloguer.Endpoint]{
 			Store:  store,
-			Table:  endpointsTable,
+			Table:  translator.EndpointsTable,
 			Wait:   s.Store.Wait.Std(),
 			Decode: translator.Endpoint,
 			Log:    log,
@@ -178,13 +174,14 @@
 		Seeds:  s.Store.Seeds,
 		Lapse:  s.Store.Lapse.Std(),
 	}
+	c.Exchanged = p.Exchanged
 	g.Leaving = c.MarkOnLoop
 	g.Estimate = estimate
 }
 
 // decodeSite reads the operators' row.
 func decodeSite(key string, value []byte) (controller.Site, error) {
-	if key != configurationKey {
+	if key != translator.ConfigurationKey {
 		return controller.Site{}, errors.Errorf("no configuration is kept under %q", key)
 	}
 	cfg, err := translator.Configuration(value)
@@ -215,191 +212,3 @@
 	}
 	return reports
 }
-
-// siteParts is everything that runs on such a platform.
-type siteParts struct {
-	fx.In
-
-	Settings   *loader.Settings
-	Log        logrus.FieldLogger
-	Loop       *looper.Loop
-	Controller *controller.Controller
-	Granter    *granter.Granter
-	Acquirer   *acquirer.Acquirer
-	Dialer     *dialer.Dialer
-	Observer   *observer.Observer
-	Receiver   *receiver.Receiver
-	Relayer    *relayer.Relayer
-	Exchanger  *exchanger.Exchanger
-	Conductor  *conductor.Conductor
-	Reporter   *reporter.Reporter
-}
-
-// site is a running router on such a platform.
-type site struct {
-	parts  siteParts
-	group  *errgroup.Group
-	cancel context.CancelFunc
-	caller *http.Server
-}
-
-// runSite starts all parts with the application and stops them in order.
-func runSite(p siteParts, lc fx.Lifecycle, down fx.Shutdowner) {
-	s := &site{parts: p}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return s.start(down) },
-		OnStop:  s.stop,
-	})
-}
-
-func (s *site) start(down fx.Shutdowner) error {
-	p := s.parts
-	if p.Settings.Store.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(p.Settings.Store.MemoryMB<<20)))
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.group, ctx = errgroup.WithContext(ctx)
-	peers, err := p.Dialer.Listen(ctx, p.Settings.Listen.Peer)
-	if err != nil {
-		cancel()
-		return err
-	}
-	callers, err := listenHTTP(ctx, p.Settings.Listen.Caller, "", "")
-	if err != nil {
-		cancel()
-		return err
-	}
-	s.caller = newHTTPServer(p.Settings, p.Receiver, nil)
-	s.caller.IdleTimeout = p.Settings.Caller.IdleTimeout.Std()
-	s.group.Go(func() error {
-		s.limit(ctx)
-		return serveHTTP(ctx, s.caller, callers)
-	})
-	servers := map[string]*http.Server{
-		p.Settings.Listen.Ready:    newHTTPServer(p.Settings, http.HandlerFunc(p.Receiver.Ready), nil),
-		p.Settings.Listen.Operator: newHTTPServer(p.Settings, s.operator(), nil),
-	}
-	for address, server := range servers {
-		l, err := listenHTTP(ctx, address, "", "")
-		if err != nil {
-			cancel()
-			return err
-		}
-		s.group.Go(func() error { return serveHTTP(ctx, server, l) })
-	}
-	s.group.Go(func() error { return p.Loop.Run(ctx) })
-	s.group.Go(func() error { return p.Controller.Run(ctx) })
-	s.group.Go(func() error { return p.Granter.Run(ctx) })
-	s.group.Go(func() error { return p.Acquirer.Run(ctx) })
-	s.group.Go(func() error { return p.Conductor.Run(ctx) })
-	s.group.Go(func() error { return servePeers(ctx, peers, p.Controller, p.Granter) })
-	s.group.Go(func() error { return p.Relayer.Watch(ctx) })
-	s.group.Go(func() error { return s.sweep(ctx) })
-	s.group.Go(func() error { return s.hangups(ctx) })
-	s.group.Go(func() error { return watchParts(ctx, p.Log, down) })
-	p.Log.WithField("caller", p.Settings.Listen.Caller).WithField("data-centre", p.Settings.DataCentre).Info("serving")
-	return nil
-}
-
-// limitWait is how long callers wait at most for an instance that starts to
-// learn their limits; then those of the settings hold.
-const limitWait = 500 * time.Millisecond
-
-// limit sets the callers' limits as operators have declared them.
-func (s *site) limit(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, limitWait)
-	defer cancel()
-	t := time.NewTicker(limitWait / 25)
-	defer t.Stop()
-	for s.parts.Observer.View().Site == nil {
-		select {
-		case <-ctx.Done():
-			s.parts.Log.Warn("callers' limits not known in time; those of the settings hold")
-			return
-		case <-t.C:
-		}
-	}
-	limits := s.parts.Observer.View().Site.Limits
-	if limits.HeaderTimeout > 0 {
-		s.caller.ReadHeaderTimeout = limits.HeaderTimeout
-	}
-	if limits.IdleTimeout > 0 {
-		s.caller.IdleTimeout = limits.IdleTimeout
-	}
-	if limits.HeaderBytes > 0 {
-		s.caller.MaxHeaderBytes = limits.HeaderBytes
-	}
-}
-
-// operator serves metrics.
-func (s *site) operator() http.Handler {
-	r := mux.NewRouter()
-	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { s.parts.Reporter.Write(w) })
-	return r
-}
-
-// sweep closes unused connections whose time has passed.
-func (s *site) sweep(ctx context.Context) error {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			s.parts.Exchanger.Sweep(now)
-		}
-	}
-}
-
-// hangups reads the settings again at each SIGHUP. What may change while the
-// router runs is where other instances are found.
-func (s *site) hangups(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-signals:
-			s.reload()
-		}
-	}
-}
-
-func (s *site) reload() {
-	next, err := loader.Load(s.parts.Settings.Path())
-	if err != nil {
-		s.parts.Log.WithError(err).Error("settings not reloaded; the old ones stay in force")
-		return
-	}
-	changed := next.Store != nil && next.Store.Address != s.parts.Settings.Store.Address
-	s.parts.Log.WithField("store-moved", changed).Info("settings read again")
-}
-
-// stop is the planned stop: not ready at once, serving on until the requests in
-// flight are done, and for most of the time that the platform grants.
-func (s *site) stop(ctx context.Context) error {
-	p := s.parts
-	ctx, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std()-stopMargin)
-	defer cancel()
-	p.Log.WithField("requests", p.Receiver.Active()).Info("stopping: not ready for new work")
-	if err := p.Controller.Leave(ctx); err != nil {
-		p.Log.WithError(err).Warn("peers not told of the stop")
-	}
-	time.Sleep(p.Settings.Stop.Notice.Std())
-	if err := s.caller.Shutdown(ctx); err != nil {
-		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
-	}
-	depart, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
-	defer cancel()
-	if err := p.Controller.Depart(depart); err != nil {
-		p.Log.WithError(err).Info("peers not told that the instance is gone")
-	}
-	s.cancel()
-	err := s.group.Wait()
-	p.Log.Info("stopped")
-	return err
-}
--- /dev/null
+++ b/router/sitedaemon.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"golang.org/x/sync/errgroup"
+
+	"heatherhold.dev/router/acquirer"
+	"heatherhold.dev/router/conductor"
+	"heatherhold.dev/router/controller"
+	"heatherhold.dev/router/dialer"
+	"heatherhold.dev/router/exchanger"
+	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/loader"
+	"heatherhold.dev/router/looper"
+	"heatherhold.dev/router/observer"
+	"heatherhold.dev/router/receiver"
+	"heatherhold.dev/router/relayer"
+	"heatherhold.dev/router/reporter"
+)
+
+const (
+	// sweepInterval is how often unused connections to endpoints are looked at.
+	sweepInterval = time.Second
+	// memoryPart is the part of the instance's memory that the heap may fill.
+	memoryPart = 0.7
+	// stopMargin is kept from the time that the platform grants for a stop.
+	stopMargin = 600 * time.Millisecond
+)
+
+// siteParts is everything that runs on such a platform.
+type siteParts struct {
+	fx.In
+
+	Settings   *loader.Settings
+	Log        logrus.FieldLogger
+	Loop       *looper.Loop
+	Controller *controller.Controller
+	Granter    *granter.Granter
+	Acquirer   *acquirer.Acquirer
+	Dialer     *dialer.Dialer
+	Observer   *observer.Observer
+	Receiver   *receiver.Receiver
+	Relayer    *relayer.Relayer
+	Exchanger  *exchanger.Exchanger
+	Conductor  *conductor.Conductor
+	Reporter   *reporter.Reporter
+}
+
+// site is a running router on such a platform.
+type site struct {
+	parts  siteParts
+	group  *errgroup.Group
+	cancel context.CancelFunc
+	caller *http.Server
+}
+
+// runSite starts all parts with the application and stops them in order.
+func runSite(p siteParts, lc fx.Lifecycle, down fx.Shutdowner) {
+	s := &site{parts: p}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return s.start(down) },
+		OnStop:  s.stop,
+	})
+}
+
+func (s *site) start(down fx.Shutdowner) error {
+	p := s.parts
+	if p.Settings.Store.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(p.Settings.Store.MemoryMB<<20)))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.group, ctx = errgroup.WithContext(ctx)
+	peers, err := p.Dialer.Listen(ctx, p.Settings.Listen.Peer)
+	if err != nil {
+		cancel()
+		return err
+	}
+	callers, err := listenHTTP(ctx, p.Settings.Listen.Caller, "", "")
+	if err != nil {
+		cancel()
+		return err
+	}
+	s.caller = newHTTPServer(p.Settings, p.Receiver, nil)
+	s.caller.IdleTimeout = p.Settings.Caller.IdleTimeout.Std()
+	s.group.Go(func() error {
+		s.limit(ctx)
+		return serveHTTP(ctx, s.caller, callers)
+	})
+	servers := map[string]*http.Server{
+		p.Settings.Listen.Ready:    newHTTPServer(p.Settings, http.HandlerFunc(p.Receiver.Ready), nil),
+		p.Settings.Listen.Operator: newHTTPServer(p.Settings, s.operator(), nil),
+	}
+	for address, server := range servers {
+		l, err := listenHTTP(ctx, address, "", "")
+		if err != nil {
+			cancel()
+			return err
+		}
+		s.group.Go(func() error { return serveHTTP(ctx, server, l) })
+	}
+	s.group.Go(func() error { return p.Loop.Run(ctx) })
+	s.group.Go(func() error { return p.Controller.Run(ctx) })
+	s.group.Go(func() error { return p.Granter.Run(ctx) })
+	s.group.Go(func() error { return p.Acquirer.Run(ctx) })
+	s.group.Go(func() error { return p.Conductor.Run(ctx) })
+	s.group.Go(func() error { return servePeers(ctx, peers, p.Controller, p.Granter) })
+	s.group.Go(func() error { return p.Relayer.Watch(ctx) })
+	s.group.Go(func() error { return s.sweep(ctx) })
+	s.group.Go(func() error { return s.hangups(ctx) })
+	s.group.Go(func() error { return watchParts(ctx, p.Log, down) })
+	p.Log.WithField("caller", p.Settings.Listen.Caller).WithField("data-centre", p.Settings.DataCentre).Info("serving")
+	return nil
+}
+
+// limitWait is how long callers wait at most for an instance that starts to
+// learn their limits; then those of the settings hold.
+const limitWait = 500 * time.Millisecond
+
+// limit sets the callers' limits as operators have declared them.
+func (s *site) limit(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, limitWait)
+	defer cancel()
+	t := time.NewTicker(limitWait / 25)
+	defer t.Stop()
+	for s.parts.Observer.View().Site == nil {
+		select {
+		case <-ctx.Done():
+			s.parts.Log.Warn("callers' limits not known in time; those of the settings hold")
+			return
+		case <-t.C:
+		}
+	}
+	limits := s.parts.Observer.View().Site.Limits
+	if limits.HeaderTimeout > 0 {
+		s.caller.ReadHeaderTimeout = limits.HeaderTimeout
+	}
+	if limits.IdleTimeout > 0 {
+		s.caller.IdleTimeout = limits.IdleTimeout
+	}
+	if limits.HeaderBytes > 0 {
+		s.caller.MaxHeaderBytes = limits.HeaderBytes
+	}
+}
+
+// operator serves metrics.
+func (s *site) operator() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { s.parts.Reporter.Write(w) })
+	return r
+}
+
+// sweep closes unused connections whose time has passed.
+func (s *site) sweep(ctx context.Context) error {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			s.parts.Exchanger.Sweep(now)
+		}
+	}
+}
+
+// hangups reads the settings again at each SIGHUP. What may change while the
+// router runs is where other instances are found.
+func (s *site) hangups(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+			s.reload()
+		}
+	}
+}
+
+func (s *site) reload() {
+	next, err := loader.Load(s.parts.Settings.Path())
+	if err != nil {
+		s.parts.Log.WithError(err).Error("settings not reloaded; the old ones stay in force")
+		return
+	}
+	changed := next.Store != nil && next.Store.Address != s.parts.Settings.Store.Address
+	s.parts.Log.WithField("store-moved", changed).Info("settings read again")
+}
+
+// stop is the planned stop: not ready at once, serving on until the requests in
+// flight are done, and for most of the time that the platform grants.
+func (s *site) stop(ctx context.Context) error {
+	p := s.parts
+	ctx, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std()-stopMargin)
+	defer cancel()
+	p.Log.WithField("requests", p.Receiver.Active()).Info("stopping: not ready for new work")
+	if err := p.Controller.Leave(ctx); err != nil {
+		p.Log.WithError(err).Warn("peers not told of the stop")
+	}
+	time.Sleep(p.Settings.Stop.Notice.Std())
+	if err := s.caller.Shutdown(ctx); err != nil {
+		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
+	}
+	depart, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
+	defer cancel()
+	if err := p.Controller.Depart(depart); err != nil {
+		p.Log.WithError(err).Info("peers not told that the instance is gone")
+	}
+	s.cancel()
+	err := s.group.Wait()
+	p.Log.Info("stopped")
+	return err
+}
--- a/router/streamer/budget.go
+++ b/router/streamer/budget.go
@@ -31,6 +31,13 @@
 	b.Saved = min(b.Saved, burst)
 }
 
+// Left returns how many retries are saved up.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Saved
+}
+
 // Spend takes one retry, or reports that there is none left.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
