--- a/router/sitedaemon.go
+++ b/router/sitedaemon.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -62,11 +65,55 @@
 	group  *errgroup.Group
 	cancel context.CancelFunc
 	caller *http.Server
+
+	mu sync.Mutex
+	// running counts the goroutines of each part.
+	running map[string]int
+}
+
+// run starts a part's goroutine.
+func (s *site) run(part string, f func() error) {
+	s.count(part, 1)
+	s.group.Go(func() error {
+		defer s.count(part, -1)
+		return f()
+	})
+}
+
+func (s *site) count(part string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[part] += n
+	if s.running[part] == 0 {
+		delete(s.running, part)
+	}
+}
+
+// wait waits for all parts to end, and at most for limit.
+func (s *site) wait(limit time.Duration) error {
+	ended := make(chan error, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		ended <- s.group.Wait()
+		return nil
+	})
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(limit):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts.Log.WithField("parts", slices.Sorted(maps.Keys(s.running))).Warn("parts not ended at the end of the time to stop")
+	return nil
 }
 
 // runSite starts all parts with the application and stops them in order.
 func runSite(p siteParts, lc fx.Lifecycle, down fx.Shutdowner) {
-	s := &site{parts: p}
+	s := &site{
+		parts:   p,
+		running: make(map[string]int),
+	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return s.start(down) },
 		OnStop:  s.stop,
@@ -93,7 +140,7 @@
 	}
 	s.caller = newHTTPServer(p.Settings, p.Receiver, nil)
 	s.caller.IdleTimeout = p.Settings.Caller.IdleTimeout.Std()
-	s.group.Go(func() error {
+	s.run("callers", func() error {
 		s.limit(ctx)
 		return serveHTTP(ctx, s.caller, callers)
 	})
@@ -107,18 +154,18 @@
 			cancel()
 			return err
 		}
-		s.group.Go(func() error { return serveHTTP(ctx, server, l) })
-	}
-	s.group.Go(func() error { return p.Loop.Run(ctx) })
-	s.group.Go(func() error { return p.Controller.Run(ctx) })
-	s.group.Go(func() error { return p.Granter.Run(ctx) })
-	s.group.Go(func() error { return p.Acquirer.Run(ctx) })
-	s.group.Go(func() error { return p.Conductor.Run(ctx) })
-	s.group.Go(func() error { return servePeers(ctx, peers, p.Controller, p.Granter) })
-	s.group.Go(func() error { return p.Relayer.Watch(ctx) })
-	s.group.Go(func() error { return s.sweep(ctx) })
-	s.group.Go(func() error { return s.hangups(ctx) })
-	s.group.Go(func() error { return watchParts(ctx, p.Log, down) })
+		s.run("operators", func() error { return serveHTTP(ctx, server, l) })
+	}
+	s.run("loop", func() error { return p.Loop.Run(ctx) })
+	s.run("controller", func() error { return p.Controller.Run(ctx) })
+	s.run("granter", func() error { return p.Granter.Run(ctx) })
+	s.run("acquirer", func() error { return p.Acquirer.Run(ctx) })
+	s.run("conductor", func() error { return p.Conductor.Run(ctx) })
+	s.run("peers", func() error { return servePeers(ctx, peers, p.Controller, p.Granter) })
+	s.run("relayer", func() error { return p.Relayer.Watch(ctx) })
+	s.run("sweeper", func() error { return s.sweep(ctx) })
+	s.run("signals", func() error { return s.hangups(ctx) })
+	s.run("watcher", func() error { return watchParts(ctx, p.Log, down) })
 	p.Log.WithField("caller", p.Settings.Listen.Caller).WithField("data-centre", p.Settings.DataCentre).Info("serving")
 	return nil
 }
@@ -220,7 +267,7 @@
 		p.Log.WithError(err).Info("peers not told that the instance is gone")
 	}
 	s.cancel()
-	err := s.group.Wait()
+	err := s.wait(stopMargin / 4)
 	p.Log.Info("stopped")
 	return err
 }
