Move an endpoint to layers that nobody in its data centre holds

Ruled out: the store and the lease (orders were given all the while), the balancer, callers that repeat (refusals name the pool: the request waited past its limit). Change: where nobody holds the larger part of a stretch, one endpoint at a time whose layers others hold is ordered there.

--- a/router/conductor/conductor.go
+++ b/router/conductor/conductor.go
@@ -60,6 +60,8 @@
 	refused time.Time
 	// grown has, for each service, its endpoints' number and since when it stands.
 	grown map[identifier.Service]growth
+	// moving has, for each service, the endpoint that changes its layers.
+	moving map[identifier.Service]movement
 }
 
 // growth is the size of a fleet and since when it has that.
@@ -78,6 +80,7 @@
 func (c *Conductor) Run(ctx context.Context) error {
 	c.ordered = make(map[identifier.Life]intent)
 	c.grown = make(map[identifier.Service]growth)
+	c.moving = make(map[identifier.Service]movement)
 	t := time.NewTicker(lookInterval)
 	defer t.Stop()
 	for {
@@ -108,7 +111,9 @@
 		plan := placer.Plan(s.Engine, fleet)
 		if len(plan) > 0 {
 			c.carryOut(ctx, fleet, plan)
+			continue
 		}
+		c.rebalance(ctx, name, s.Engine, fleet)
 	}
 }
 
