--- a/router/sitedaemon.go
+++ b/router/sitedaemon.go
@@ -261,13 +261,30 @@
 	if err := s.caller.Shutdown(ctx); err != nil {
 		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
 	}
-	depart, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
-	defer cancel()
-	if err := p.Controller.Depart(depart); err != nil {
-		p.Log.WithError(err).Info("peers not told that the instance is gone")
-	}
+	s.depart(context.WithoutCancel(ctx))
 	s.cancel()
 	err := s.wait(stopMargin / 4)
 	p.Log.Info("stopped")
 	return err
 }
+
+// depart tells peers that the instance is gone, for a part of the margin at most:
+// a peer that has fallen silent must not hold the stop up.
+func (s *site) depart(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopMargin/2)
+	defer cancel()
+	told := make(chan error, 1)
+	s.run("departure", func() error {
+		told <- s.parts.Controller.Depart(ctx)
+		return nil
+	})
+	var err error
+	select {
+	case err = <-told:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	if err != nil {
+		s.parts.Log.WithError(err).Info("peers not told that the instance is gone")
+	}
+}
