--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -58,20 +58,36 @@
 	}
 	request, err := x.Codec.Request(r)
 	if err != nil {
-		x.refuse(w, r, request, classifier.New(classifier.BadRequest, err.Error()))
+		x.refuse(w, request, classifier.New(classifier.BadRequest, err.Error()))
 		return
 	}
 	started, err := x.serve(w, r, request)
 	if err == nil {
 		return
 	}
+	if errors.Is(r.Context().Err(), context.Canceled) {
+		x.log(request, err).Info("caller went away")
+		panic(http.ErrAbortHandler)
+	}
 	if started {
 		// A part of the answer is out: only a broken connection tells the
 		// caller that it is not whole.
-		x.Log.WithField("request", request.ID).WithField("held-ms", time.Since(request.Received).Milliseconds()).WithError(err).Warn("answer broken off")
+		x.log(request, err).Warn("answer broken off")
 		panic(http.ErrAbortHandler)
 	}
-	x.refuse(w, r, request, err)
+	x.refuse(w, request, err)
+}
+
+// log returns a log for the end of a request that was not served.
+func (x *Receiver) log(request *courier.Request, err error) *logrus.Entry {
+	e := classifier.Classify(err)
+	return x.Log.WithError(err).WithFields(logrus.Fields{
+		"request":  request.ID,
+		"kind":     e.Kind,
+		"status":   classifier.AnswerOf(e.Kind).Status,
+		"revision": x.Observer.View().Revision,
+		"held-ms":  time.Since(request.Received).Milliseconds(),
+	})
 }
 
 func (x *Receiver) serve(w http.ResponseWriter, r *http.Request, request *courier.Request) (bool, error) {
@@ -162,20 +178,9 @@
 }
 
 // refuse answers a request of which nothing was answered yet.
-func (x *Receiver) refuse(w http.ResponseWriter, r *http.Request, request *courier.Request, err error) {
+func (x *Receiver) refuse(w http.ResponseWriter, request *courier.Request, err error) {
+	x.log(request, err).Warn("request not served")
 	e := classifier.Classify(err)
-	fields := logrus.Fields{
-		"request":  request.ID,
-		"kind":     e.Kind,
-		"status":   classifier.AnswerOf(e.Kind).Status,
-		"revision": x.Observer.View().Revision,
-		"held-ms":  time.Since(request.Received).Milliseconds(),
-	}
-	if errors.Is(r.Context().Err(), context.Canceled) {
-		x.Log.WithFields(fields).WithError(err).Info("caller went away")
-		panic(http.ErrAbortHandler)
-	}
-	x.Log.WithFields(fields).WithError(err).Warn("request not served")
 	status := classifier.AnswerOf(e.Kind).Status
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", seconds(e.RetryAfter))
