--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -32,6 +32,17 @@
 	}
 }
 
+// Share returns the n-th part of what an endpoint can do, for an instance that
+// schedules alone beside n-1 others.
+func Share(r planner.Runner, n int) planner.Runner {
+	n = max(n, 1)
+	r.Slots = max(r.Slots/n, 1)
+	if r.Room > 0 {
+		r.Room = max(r.Room/identifier.Tokens(n), 1)
+	}
+	return r
+}
+
 // overcommit is how much more than the memory for requests is given out: few of
 // them are at their longest at the same time.
 const overcommit = 1.1
--- a/router/estimator/estimator_test.go
+++ b/router/estimator/estimator_test.go
@@ -6,6 +6,7 @@
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/router/estimator"
+	"heatherhold.dev/router/planner"
 )
 
 func engine() *cataloguer.Engine {
@@ -70,3 +71,23 @@
 		t.Errorf("transfer of 10 MB at 1 GB/s: got %v, want %v or more", got, least)
 	}
 }
+
+// TestShare requires that instances which schedule alone don't give out more of
+// an endpoint together than it has, neither places nor memory.
+func TestShare(t *testing.T) {
+	whole := planner.Runner{
+		Slots: 40,
+		Room:  36_000,
+	}
+	const instances = 9
+	part := estimator.Share(whole, instances)
+	if got := part.Slots * instances; got > whole.Slots {
+		t.Errorf("got %d places given out together, want at most %d", got, whole.Slots)
+	}
+	if got := part.Room * instances; got > whole.Room {
+		t.Errorf("got room for %d tokens given out together, want at most %d", got, whole.Room)
+	}
+	if got := estimator.Share(planner.Runner{Slots: 3}, instances); got.Slots != 1 || got.Room != 0 {
+		t.Errorf("got %d places and room %d, want one place and no bound of room", got.Slots, got.Room)
+	}
+}
--- a/router/loader/loader.go
+++ b/router/loader/loader.go
@@ -54,10 +54,11 @@
 	// Lapse is how long after an outage of the store endpoints that left the
 	// list meanwhile are still believed in.
 	Lapse identifier.Duration `toml:"lapse"`
-	// RetryRatio and RetryBurst bound the retries of all instances together:
-	// for each request, and beside that.
-	RetryRatio float64 `toml:"retry-ratio"`
-	RetryBurst float64 `toml:"retry-burst"`
+	// RetryRatio and RetryBurst bound the retries of all instances together in
+	// any RetryWindow: for each request, and beside that.
+	RetryRatio  float64             `toml:"retry-ratio"`
+	RetryBurst  float64             `toml:"retry-burst"`
+	RetryWindow identifier.Duration `toml:"retry-window"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int64 `toml:"memory-mb"`
 }
@@ -236,6 +237,7 @@
 	c.between("store.lapse", s.Store.Lapse, 0, time.Minute)
 	c.want(s.Store.RetryRatio >= 0, "store.retry-ratio", "want 0 or more, got %v", s.Store.RetryRatio)
 	c.want(s.Store.RetryBurst >= 0, "store.retry-burst", "want 0 or more, got %v", s.Store.RetryBurst)
+	c.between("store.retry-window", s.Store.RetryWindow, 0, time.Hour)
 	c.want(s.Store.MemoryMB >= 0, "store.memory-mb", "want 0 or more, got %d", s.Store.MemoryMB)
 }
 
--- a/router/observer/observer.go
+++ b/router/observer/observer.go
@@ -38,6 +38,12 @@
 	Fleet map[identifier.Service][]cataloguer.Endpoint
 }
 
+// Instances returns how many instances are known, this one included: also those
+// that can't be reached, which may still be at work.
+func (v *View) Instances() int {
+	return max(len(v.Live), len(v.Peers)+1)
+}
+
 // Size returns how many endpoints are listed for all services.
 func (v *View) Size() int {
 	n := 0
--- a/router/relayer/bed_test.go
+++ b/router/relayer/bed_test.go
@@ -271,16 +271,18 @@
 	o := observer.New()
 	o.Publish(v)
 	b.relayer = &relayer.Relayer{
-		Observer:   o,
-		Tickets:    b.tickets,
-		Exchanger:  &exchanger.Exchanger{DialTimeout: time.Second},
-		Codec:      codec{},
-		Orders:     b.orders,
-		Balancer:   &balancer.Balancer{},
-		Reporter:   reporter.New(nil),
-		RetryRatio: 0.2,
-		RetryBurst: 10,
-		Log:        log,
+		Observer:  o,
+		Tickets:   b.tickets,
+		Exchanger: &exchanger.Exchanger{DialTimeout: time.Second},
+		Codec:     codec{},
+		Orders:    b.orders,
+		Balancer:  &balancer.Balancer{},
+		Reporter:  reporter.New(nil),
+		Retries: relayer.Retries{
+			Ratio: 0.2,
+			Burst: 10,
+		},
+		Log: log,
 	}
 	return b
 }
--- a/router/relayer/plain.go
+++ b/router/relayer/plain.go
@@ -63,6 +63,7 @@
 			"runs":     p.runs,
 			"left-ms":  time.Until(p.job.Deadline).Milliseconds(),
 			"again":    again,
+			"retries":  p.relayer.budget(time.Now(), p.job.Service).Left(),
 		}).Warn("attempt failed")
 		if again {
 			continue
--- a/router/relayer/relayer.go
+++ b/router/relayer/relayer.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -67,57 +66,17 @@
 	Balancer   *balancer.Balancer
 	Reporter   *reporter.Reporter
 	DataCentre identifier.DataCentre
-	// RetryRatio is how many retries a request earns, and RetryBurst how many
-	// may be saved up by all instances together.
-	RetryRatio float64
-	RetryBurst float64
+	Retries    Retries
 	Log        logrus.FieldLogger
 
 	mu      sync.Mutex
-	budgets map[identifier.Service]*streamer.Budget
+	budgets map[identifier.Service]*budget
 	running map[*attempt]bool
 }
 
 // answerLimit bounds the answer of a plain service, in bytes.
 const answerLimit = 16 << 20
 
-// savedAtStart is how many retries an instance may make before its requests
-// have earned any: one that has just started does not know yet how many others
-// share the burst.
-const savedAtStart = 2
-
-// budget returns the retry budget of a service; its burst is this instance's
-// share of what all may save up.
-func (x *Relayer) budget(s identifier.Service) *streamer.Budget {
-	live := len(x.Observer.View().Live)
-	burst := x.RetryBurst / float64(max(live, 1))
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.budgets == nil {
-		x.budgets = make(map[identifier.Service]*streamer.Budget)
-	}
-	b, ok := x.budgets[s]
-	if !ok {
-		b = &streamer.Budget{
-			Ratio: x.RetryRatio,
-			Saved: savedAtStart,
-		}
-		x.budgets[s] = b
-		x.Reporter.Gauge(fmt.Sprintf(`heatherhold_retries_left{service=%q}`, s), b.Left)
-	}
-	b.Bound(burst)
-	return b
-}
-
-// repeats takes a retry out of a service's budget, or reports that none is left.
-func (x *Relayer) repeats(s identifier.Service) bool {
-	if !x.budget(s).Spend() {
-		return false
-	}
-	x.Reporter.Repeated(s)
-	return true
-}
-
 // Serve answers w with the answer of an endpoint. After an error with started
 // set, a part of an answer is out and the connection must be broken off.
 func (x *Relayer) Serve(ctx context.Context, w http.ResponseWriter, j Job) (started bool, err error) {
@@ -127,7 +86,7 @@
 	if !ok {
 		return false, classifier.New(classifier.NoChain, "the service is not declared")
 	}
-	x.budget(j.Service).Earn()
+	x.budget(time.Now(), j.Service).Earn()
 	if service.Engine != nil {
 		s := &stream{
 			relayer: x,
--- a/router/relayer/relayer_test.go
+++ b/router/relayer/relayer_test.go
@@ -292,7 +292,7 @@
 	const requests, instances = 100, 5
 	for range instances {
 		b := newBed(cataloguer.Idempotent, false, e, f)
-		b.relayer.RetryBurst = 40
+		b.relayer.Retries.Burst = 40
 		for range requests {
 			b.serve(context.Background(), time.Second)
 		}
@@ -302,3 +302,35 @@
 		t.Errorf("got %d retries for %d requests, want at most %d", got, requests*instances, want)
 	}
 }
+
+// TestRetryWindow requires that the burst is allowed again in each window, and
+// not more than it in any, however many instances are cut off from each other.
+func TestRetryWindow(t *testing.T) {
+	e := newEndpoint(t, "a", lose)
+	f := newEndpoint(t, "b", lose)
+	b := newBed(cataloguer.Idempotent, false, e, f)
+	b.relayer.Retries = relayer.Retries{
+		Burst:  50,
+		Window: time.Second,
+	}
+	const windows = 5
+	begun := time.Now()
+	counts := make([]int, 2*windows)
+	for time.Since(begun) < windows*time.Second {
+		before := len(e.ran()) + len(f.ran())
+		b.serve(context.Background(), time.Second)
+		half := int(time.Since(begun) / (time.Second / 2))
+		if half < len(counts) {
+			counts[half] += len(e.ran()) + len(f.ran()) - before - 1
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	for i := range len(counts) - 1 {
+		if got := counts[i] + counts[i+1]; got > 50 {
+			t.Errorf("got %d retries in a second, want at most 50", got)
+		}
+	}
+	if got := counts[len(counts)-3] + counts[len(counts)-2]; got < 20 {
+		t.Errorf("got %d retries in a late window, want 20 or more", got)
+	}
+}
--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -119,6 +119,7 @@
 		"runs":      s.runs,
 		"left-ms":   time.Until(s.job.Deadline).Milliseconds(),
 		"again":     again,
+		"retries":   s.relayer.budget(time.Now(), s.job.Service).Left(),
 		"queued-ms": s.timing.queued.Milliseconds(),
 	}).Warn("attempt failed")
 }
--- a/router/site.go
+++ b/router/site.go
@@ -100,9 +100,12 @@
 		Balancer:   &balancer.Balancer{},
 		Reporter:   p,
 		DataCentre: s.DataCentre,
-		RetryRatio: s.Store.RetryRatio * retryShare,
-		RetryBurst: s.Store.RetryBurst * retryShare,
-		Log:        log,
+		Retries: relayer.Retries{
+			Ratio:  s.Store.RetryRatio * retryShare,
+			Burst:  s.Store.RetryBurst * retryShare,
+			Window: s.Store.RetryWindow.Std(),
+		},
+		Log: log,
 	}
 }
 
@@ -206,7 +209,7 @@
 		r := estimator.Runner(engine, p)
 		r.Version = ""
 		if k.Alone {
-			r.Slots = max(r.Slots/max(len(v.Live), 1), 1)
+			r = estimator.Share(r, v.Instances())
 		}
 		reports = append(reports, scheduler.Report{Runner: r})
 	}
--- a/router/streamer/budget.go
+++ b/router/streamer/budget.go
@@ -18,9 +18,14 @@
 
 // Earn notes a fresh request.
 func (b *Budget) Earn() {
+	b.Add(b.Ratio)
+}
+
+// Add gives n more retries.
+func (b *Budget) Add(n float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.Saved = min(b.Saved+b.Ratio, b.Burst)
+	b.Saved = min(b.Saved+n, b.Burst)
 }
 
 // Bound changes how many retries may be saved up.
