Move streams off endpoints that are slow, not only off dead ones

Ruled out: the estimate of reading (the endpoints' declared figures don't change). Change: an endpoint is asked too when at least three streams and at least half are silent; if it says that it takes four times as long or more, its streams are moved and it rests like one that failed, until one stream has tried it. TestSlowStage failed first (20 events at 180 ms, not moved).

--- a/router/relayer/bed_test.go
+++ b/router/relayer/bed_test.go
@@ -199,6 +199,8 @@
 // orders answers for all endpoints but the dead.
 type orders struct {
 	dead string
+	// slow says of itself that it is slow.
+	slow string
 
 	mu    sync.Mutex
 	moved []identifier.Stage
@@ -209,7 +211,11 @@
 	if address == o.dead {
 		return director.Report{}, errors.New("no answer")
 	}
-	return director.Report{}, nil
+	report := director.Report{Pace: 1}
+	if address == o.slow {
+		report.Pace = 12
+	}
+	return report, nil
 }
 
 func (o *orders) Repath(_ context.Context, _ identifier.Request, chain []identifier.Stage) (string, error) {
--- a/router/relayer/relayer_test.go
+++ b/router/relayer/relayer_test.go
@@ -334,3 +334,52 @@
 		t.Errorf("got %d retries in a late window, want 20 or more", got)
 	}
 }
+
+// TestSlowStage has a stage make events too slowly for several streams: they are
+// moved, though none of them is silent for good and the stage answers.
+func TestSlowStage(t *testing.T) {
+	moved := make(chan struct{})
+	var once sync.Once
+	first := newEndpoint(t, "a", func(_ int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := 1; i <= 20; i++ {
+			chunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
+			select {
+			case <-moved:
+			case <-time.After(180 * time.Millisecond):
+			}
+		}
+		fmt.Fprint(w, "0\r\n\r\n")
+	})
+	slow := newEndpoint(t, "slow", lose)
+	spare := newEndpoint(t, "spare", lose)
+	b := newBed(cataloguer.Resumable, true)
+	b.tickets.chains = [][]identifier.Stage{
+		{stage(first, 0, 2), stage(slow, 2, 4)},
+		{stage(first, 0, 2), stage(spare, 2, 4)},
+	}
+	b.orders.slow = slow.Address
+	b.orders.onto = func() { once.Do(func() { close(moved) }) }
+	ctx, cancel := context.WithCancel(context.Background())
+	var watching, streams errgroup.Group
+	watching.Go(func() error { return b.relayer.Watch(ctx) })
+	begun := time.Now()
+	for range 4 {
+		streams.Go(func() error {
+			_, _, err := b.serve(context.Background(), 5*time.Second)
+			return err
+		})
+	}
+	err := streams.Wait()
+	cancel()
+	watching.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := b.orders.moved; len(got) != 2 || got[1].Endpoint != "spare" {
+		t.Errorf("got chain %v, want the spare endpoint in place of the slow one", got)
+	}
+	if got, want := time.Since(begun), 2*time.Second; got > want {
+		t.Errorf("the streams took %v, want them moved well before %v", got, want)
+	}
+}
--- a/router/relayer/silence.go
+++ b/router/relayer/silence.go
@@ -24,14 +24,21 @@
 	// it doubles while the streams through it stay silent, up to probeLimit.
 	probePause = 300 * time.Millisecond
 	probeLimit = 2 * time.Second
+	// slowStreams is how many streams through an endpoint must be silent for it
+	// to be suspected although others move.
+	slowStreams = 3
+	// slowPace is how many times as long as it should an endpoint takes that is
+	// no better than a dead one.
+	slowPace = 4
 	// failPause is for how long an endpoint that was taken as dead is not
 	// looked at again.
 	failPause = 500 * time.Millisecond
 )
 
 // Watch finds the endpoints that hold streams up, until ctx ends. An endpoint
-// is suspected when every stream through it is silent, and taken as dead when
-// it does not answer and they all still are: then the streams are moved.
+// is suspected when every stream through it is silent, or most of several. It is
+// taken as dead when it does not answer and they all still are, or says that it is
+// slow and most still are: then the streams are moved.
 func (x *Relayer) Watch(ctx context.Context) error {
 	w := &watch{
 		relayer: x,
@@ -68,6 +75,15 @@
 	moving int
 }
 
+// suspect reports whether the endpoint may be dead, since nothing moves through
+// it, or slow, since most streams are late.
+func (e *evidence) suspect() bool {
+	if e == nil || e.silent == 0 {
+		return false
+	}
+	return e.moving == 0 || (e.silent >= slowStreams && e.silent >= e.moving)
+}
+
 // look asks the endpoints whose streams are all silent.
 func (w *watch) look(ctx context.Context, now time.Time) {
 	found := w.relayer.evidence(now)
@@ -78,12 +94,12 @@
 	reports := w.ask(ctx, suspects)
 	after := w.relayer.evidence(time.Now())
 	for i, s := range suspects {
-		e := after[s.Life]
-		if reports[i].err == nil || e == nil || e.moving > 0 {
+		why := reports[i].fault(after[s.Life])
+		if why == "" {
 			continue
 		}
 		w.asked[s.Life] = asked{next: now.Add(failPause)}
-		w.relayer.fail(ctx, s.Life, "does not answer")
+		w.relayer.fail(ctx, s.Life, why)
 		return
 	}
 	for _, r := range reports {
@@ -91,17 +107,17 @@
 	}
 }
 
-// suspects returns the endpoints through which nothing moves and that may be
-// asked now, and forgets those through which something does.
+// suspects returns the endpoints that may be dead or slow and may be asked now,
+// and forgets the others.
 func (w *watch) suspects(now time.Time, found map[identifier.Life]*evidence) []identifier.Stage {
 	for l := range w.asked {
-		if e := found[l]; e == nil || e.moving > 0 {
+		if !found[l].suspect() {
 			delete(w.asked, l)
 		}
 	}
 	var out []identifier.Stage
 	for l, e := range found {
-		if e.moving > 0 || e.silent == 0 || now.Before(w.asked[l].next) {
+		if !e.suspect() || now.Before(w.asked[l].next) {
 			continue
 		}
 		pause := min(max(2*w.asked[l].pause, probePause), probeLimit)
@@ -120,6 +136,18 @@
 	err    error
 }
 
+// fault says what is wrong with an endpoint; empty if nothing is. One that does
+// not answer is not blamed while a stream through it moves.
+func (h heard) fault(e *evidence) string {
+	switch {
+	case h.err != nil && e != nil && e.silent > 0 && e.moving == 0:
+		return "does not answer"
+	case h.err == nil && h.report.Pace >= slowPace && e.suspect():
+		return "is slow"
+	}
+	return ""
+}
+
 // ask asks all stages at once.
 func (w *watch) ask(ctx context.Context, stages []identifier.Stage) []heard {
 	out := make([]heard, len(stages))
@@ -236,7 +264,7 @@
 // so that it is tried anew.
 func (x *Relayer) fail(ctx context.Context, l identifier.Life, detail string) {
 	attempts := x.attempts(func(a *attempt) bool { return a.uses(l) })
-	x.Log.WithField("endpoint", l.Endpoint).WithField("reason", detail).WithField("streams", len(attempts)).Warn("endpoint taken as dead for its streams")
+	x.Log.WithField("endpoint", l.Endpoint).WithField("reason", detail).WithField("streams", len(attempts)).Warn("endpoint given up for its streams")
 	x.moveAll(ctx, attempts, &stageError{
 		life:   l,
 		detail: detail,
