--- a/router/receiver/receiver_test.go
+++ b/router/receiver/receiver_test.go
@@ -143,7 +143,7 @@
 	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h.example/orders/1", nil)
 	r.Header.Set("Key", "k")
 	defer func() {
-		if got := recover(); got != http.ErrAbortHandler {
+		if got, _ := recover().(error); !errors.Is(got, http.ErrAbortHandler) {
 			t.Errorf("got panic %v, want the connection to be broken off", got)
 		}
 		if !strings.Contains(lines.String(), "caller went away") {
