--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -1,10 +1,8 @@
 package relayer
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -18,12 +16,9 @@
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
-	"heatherhold.dev/core/courier"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
-	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/exchanger"
-	"heatherhold.dev/router/reporter"
 )
 
 // stream is one request to a model service.
@@ -62,29 +57,6 @@
 	s.avoid = append(s.avoid, l)
 }
 
-// timing is what a stream's caller saw.
-type timing struct {
-	begun time.Time
-	// queued is the time spent waiting for chains, and first the time to the
-	// first event.
-	queued time.Duration
-	first  time.Duration
-	// latest is when the last event was passed on, and longest the longest
-	// pause between two events.
-	latest  time.Time
-	longest time.Duration
-}
-
-// note counts an event.
-func (t *timing) note(now time.Time) {
-	if t.latest.IsZero() {
-		t.first = now.Sub(t.begun)
-	} else {
-		t.longest = max(t.longest, now.Sub(t.latest))
-	}
-	t.latest = now
-}
-
 // triesLimit bounds the chains of one request, those that did not run it included.
 const triesLimit = 8
 
@@ -149,29 +121,6 @@
 	}
 }
 
-// report logs a stream that was whole.
-func (s *stream) report() {
-	route := s.job.Route
-	log := s.relayer.log(s.job).WithFields(logrus.Fields{
-		"queued-ms":  s.timing.queued.Milliseconds(),
-		"first-ms":   s.timing.first.Milliseconds(),
-		"longest-ms": s.timing.longest.Milliseconds(),
-		"tries":      s.tries.Load(),
-		"events":     s.passed,
-		"chain":      describe(s.chain),
-	})
-	s.relayer.Reporter.Timed(s.job.Service, reporter.Stream{
-		Queued:  s.timing.queued,
-		First:   s.timing.first,
-		Longest: s.timing.longest,
-	})
-	if !s.late() {
-		log.Info("request served")
-		return
-	}
-	log.WithField("target-ms", route.Target.Milliseconds()).WithField("longest-pause-ms", route.Gap.Milliseconds()).Warn("request served late")
-}
-
 // describe writes a chain for the log.
 func describe(chain []identifier.Stage) string {
 	parts := make([]string, 0, len(chain))
@@ -250,118 +199,6 @@
 	return identifier.Rank(fmt.Sprintf("order-%d", order))
 }
 
-// attempt is the use of one chain.
-type attempt struct {
-	stream *stream
-	first  int64
-	begun  time.Time
-	fault  identifier.Life
-	answer *exchanger.Answer
-	cancel context.CancelCauseFunc
-	// latest is when the last event came; nil before the first.
-	latest atomic.Pointer[time.Time]
-
-	// moving is set while the stream is moved to another chain.
-	moving atomic.Bool
-	mu     sync.Mutex
-	ticket *acquirer.Ticket
-	ended  bool
-}
-
-// stageError says which stage of a chain is at fault.
-type stageError struct {
-	life   identifier.Life
-	detail string
-}
-
-// Error returns the stage and what is wrong with it.
-func (e *stageError) Error() string {
-	return e.life.String() + " " + e.detail
-}
-
-func (a *attempt) run(ctx context.Context) error {
-	x := a.stream.relayer
-	ctx, a.cancel = context.WithCancelCause(ctx)
-	defer a.cancel(nil)
-	x.enter(a)
-	defer x.leave(a)
-	err := a.open(ctx)
-	if err == nil {
-		err = a.pass()
-	}
-	var stage *stageError
-	if cause := context.Cause(ctx); err != nil && errors.As(cause, &stage) {
-		err = cause
-	}
-	if errors.As(err, &stage) {
-		a.fault = stage.life
-	}
-	return err
-}
-
-// open sends the request to the chain's first stage and reads the answer's head.
-func (a *attempt) open(ctx context.Context) error {
-	s := a.stream
-	chain := a.chain()
-	send := courier.Send{
-		Endpoint: chain[0].Endpoint,
-		Customer: s.job.Customer,
-		Left:     time.Until(s.job.Deadline),
-		Order:    s.job.Order,
-		After:    s.last.Load(),
-	}
-	if s.engine.Layers > 0 {
-		send.Chain = chain
-	}
-	answer, err := s.relayer.Exchanger.Open(ctx, s.relayer.call(s.job, chain[0].Address, send))
-	switch {
-	case errors.Is(err, exchanger.ErrNotSent):
-		s.relayer.Exchanger.Forget(chain[0].Address)
-		return a.blame(err, chain[0].Life)
-	case err != nil:
-		s.ran = true
-		s.runs++
-		s.relayer.Exchanger.Forget(chain[0].Address)
-		return a.blame(err, chain[0].Life)
-	}
-	a.answer = answer
-	return a.judge()
-}
-
-// blame notes the stage at fault and returns err.
-func (a *attempt) blame(err error, l identifier.Life) error {
-	a.fault = l
-	return err
-}
-
-// judge reads the head of the answer.
-func (a *attempt) judge() error {
-	s := a.stream
-	said := s.relayer.Codec.Answer(s.job.Request, a.answer.Status, a.answer.Header)
-	if said.NotRun {
-		status := a.answer.Status
-		a.answer.Discard()
-		at := stageAt(a.chain(), said.AtFault)
-		return a.blame(errors.Wrapf(errNotRun, "status %d, at fault %s", status, at.Endpoint), at.Life)
-	}
-	s.ran = true
-	s.runs++
-	if a.answer.Status >= http.StatusInternalServerError && (s.started || (s.job.Route.Repetition.Repeatable() && s.runs < s.job.Route.Attempts)) {
-		status := a.answer.Status
-		a.answer.Discard()
-		return a.blame(errors.Wrapf(errFailed, "status %d", status), stageAt(a.chain(), said.AtFault).Life)
-	}
-	if a.answer.Status != http.StatusOK && s.started {
-		status := a.answer.Status
-		a.answer.Discard()
-		return errors.Wrapf(errFailed, "status %d to a resumed stream", status)
-	}
-	if !s.started {
-		s.begin(a.answer)
-	}
-	return nil
-}
-
 // begin sends the caller the head of the answer.
 func (s *stream) begin(a *exchanger.Answer) {
 	s.started = true
@@ -372,34 +209,6 @@
 	s.w.WriteHeader(a.Status)
 }
 
-// pass passes the answer's events on, whole and in order.
-func (a *attempt) pass() error {
-	s := a.stream
-	if a.answer.Status != http.StatusOK {
-		return a.copy()
-	}
-	out := http.NewResponseController(s.w)
-	events := &splitter{reader: bufio.NewReader(a.answer)}
-	for {
-		e, err := events.next()
-		now := time.Now()
-		a.latest.Store(&now)
-		if errors.Is(err, io.EOF) {
-			a.answer.Close(s.relayer.Codec.Answer(s.job.Request, a.answer.Status, a.answer.Header).Idle)
-			return nil
-		}
-		if err != nil {
-			a.answer.Discard()
-			a.fault = a.chain()[0].Life
-			return errors.Wrap(exchanger.ErrLost, err.Error())
-		}
-		if err := s.take(out, e); err != nil {
-			a.answer.Discard()
-			return err
-		}
-	}
-}
-
 // take passes one event on, unless the caller holds it.
 func (s *stream) take(out *http.ResponseController, e event) error {
 	if e.id != 0 {
@@ -423,23 +232,3 @@
 	s.timing.note(time.Now())
 	return nil
 }
-
-// copy passes an answer on that is no stream of events.
-func (a *attempt) copy() error {
-	if _, err := io.Copy(a.stream.w, a.answer); err != nil {
-		a.answer.Discard()
-		return errors.Wrap(exchanger.ErrLost, err.Error())
-	}
-	a.answer.Close(0)
-	return nil
-}
-
-// outcome tells the owner how the chain was used.
-func (a *attempt) outcome() acquirer.Outcome {
-	events := a.stream.passed - a.first
-	o := acquirer.Outcome{
-		Tokens: identifier.Tokens(events * int64(a.stream.engine.Stride)),
-		Failed: a.fault,
-	}
-	return o
-}
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -20,68 +20,6 @@
 	"heatherhold.dev/router/planner"
 )
 
-// Ask is a request that wants a chain.
-type Ask struct {
-	Request  identifier.Request
-	Customer identifier.Customer
-	Rank     identifier.Rank
-	Tier     identifier.Tier
-	Weight   float64
-	Entry    identifier.DataCentre
-	Prompt   identifier.Tokens
-	// Output is the most tokens that the answer may have.
-	Output identifier.Tokens
-	// Version is the version that the request keeps to; empty means the declared one.
-	Version identifier.Version
-	// Prefix identifies the start of the prompt; 0 means none worth keeping.
-	Prefix uint64
-	Avoid  []identifier.Life
-	// Moves, if it is set, is a request in flight whose chain is to be changed no
-	// more than needed, and to keep its first stage.
-	Moves identifier.Request
-	// Resumed is set if the caller holds a part of the answer already: such a
-	// request is never refused for load.
-	Resumed bool
-}
-
-// Held is a ticket that is in use, as an entry reports it to a new owner.
-type Held struct {
-	Ask
-	Chain []identifier.Stage
-}
-
-// Outcome is how a ticket was used.
-type Outcome struct {
-	Tokens identifier.Tokens
-	// Failed names the life that broke the stream; zero if none did.
-	Failed identifier.Life
-	// Gap is the mean time between tokens; zero if unknown.
-	Gap time.Duration
-}
-
-// Verdict is a decision's kind.
-type Verdict int
-
-// The verdicts.
-const (
-	// Granted gives the request a chain.
-	Granted Verdict = iota
-	// Refused turns the request away; nothing ran.
-	Refused
-	// Revoked asks for a running request's chain back, for more urgent work.
-	Revoked
-)
-
-// Decision is what is to be done with one request.
-type Decision struct {
-	Verdict    Verdict
-	Request    identifier.Request
-	Chain      []identifier.Stage
-	Kind       classifier.Kind
-	Detail     string
-	RetryAfter time.Duration
-}
-
 // Policy is what is declared for a pool.
 type Policy struct {
 	Layers identifier.Layer
