Tell who refused a request, and by which configuration

An entry's line of a request that its pool's owner refused named neither the owner nor the revision that it decided by, so a refusal by an owner that lacks the entry's configuration could not be told from a wrong request. Refusals now carry the revision, and the entry adds the owner to the cause in its log. Requests that are refused before they reach a pool were in no metric on the users' platform; they are counted by kind.

No decision is changed.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -40,7 +41,9 @@
 	service identifier.Service
 	out     *batcher.Batch[func(*messenger.ToOwner)]
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// owner is who schedules the pool now, as far as this entry knows.
+	owner   identifier.Instance
 	waiting map[identifier.Request]*wait
 	held    map[identifier.Request]*Ticket
 }
@@ -229,16 +232,18 @@
 		Kind:       classifier.Kind(r.GetKind()),
 		Detail:     r.GetDetail(),
 		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+		Wrapped:    errors.Errorf("decided by %s at revision %d", p.owner, r.GetRevision()),
 	}}
 }
 
 // resume fills the first message to a new owner: all that is wanted and held.
-func (p *pool) resume(m *messenger.ToOwner) {
+func (p *pool) resume(owner identifier.Instance, m *messenger.ToOwner) {
 	// What is queued for the old owner is contained in the state below, but
 	// for releases and cancels, which the new owner has no use for.
 	p.out.Take()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.owner = owner
 	for _, w := range p.waiting {
 		m.Asks = append(m.Asks, w.ask)
 	}
--- a/router/acquirer/converse.go
+++ b/router/acquirer/converse.go
@@ -76,7 +76,7 @@
 	}
 	defer talk.Close()
 	first := &messenger.ToOwner{}
-	p.resume(first)
+	p.resume(a.Self, first)
 	talk.Send(first)
 	check := time.NewTicker(a.Silence / beats)
 	defer check.Stop()
@@ -127,7 +127,7 @@
 	}
 	heard := make(chan struct{}, 1)
 	group.Go(func() error { return p.receive(stream, heard) })
-	group.Go(func() error { return a.send(ctx, p, stream, a.stays(p, owner)) })
+	group.Go(func() error { return a.send(ctx, p, owner, stream) })
 	group.Go(func() error { return granter.Watch(ctx, heard, a.Silence) })
 	group.Go(func() error {
 		<-ctx.Done()
@@ -150,12 +150,13 @@
 	}
 }
 
-func (a *Acquirer) send(ctx context.Context, p *pool, r remote, stays func() bool) error {
+func (a *Acquirer) send(ctx context.Context, p *pool, owner identifier.Instance, r remote) error {
+	stays := a.stays(p, owner)
 	first := &messenger.ToOwner{
 		Instance: string(a.Self),
 		Pool:     string(p.service),
 	}
-	p.resume(first)
+	p.resume(owner, first)
 	if err := r.Send(first); err != nil {
 		return errors.Wrap(err, "send")
 	}
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -154,6 +154,15 @@
 	}
 }
 
+// revision returns the configuration that the pool is scheduled by; 0 if there
+// is none yet.
+func (p *pool) revision() identifier.Revision {
+	if p.view == nil {
+		return 0
+	}
+	return p.view.Revision
+}
+
 // linksOf returns the links that a pool's chains cross.
 func linksOf(v *observer.View, s identifier.Service) planner.Links {
 	if v.Site == nil || v.Site.Services[s].Engine == nil {
@@ -245,7 +254,7 @@
 			m = &messenger.FromOwner{}
 			batches[t] = m
 		}
-		add(m, d)
+		add(m, d, p.revision())
 		if d.Verdict == scheduler.Refused {
 			p.forget(d.Request)
 		}
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -53,7 +53,8 @@
 	}
 }
 
-func add(m *messenger.FromOwner, d scheduler.Decision) {
+// add writes a decision that was made by a revision of the configuration.
+func add(m *messenger.FromOwner, d scheduler.Decision, by identifier.Revision) {
 	switch d.Verdict {
 	case scheduler.Granted:
 		m.Grants = append(m.Grants, &messenger.Grant{
@@ -66,6 +67,7 @@
 			Kind:         string(d.Kind),
 			Detail:       d.Detail,
 			RetryAfterMs: d.RetryAfter.Milliseconds(),
+			Revision:     uint64(by),
 		})
 	case scheduler.Revoked:
 		m.Revoked = append(m.Revoked, string(d.Request))
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -32,7 +32,10 @@
 	Observer *observer.Observer
 	Relayer  *relayer.Relayer
 	Codec    Codec
-	Log      logrus.FieldLogger
+	// Refused, if it is set, is told of each request that is answered with an
+	// error of the router's own.
+	Refused func(classifier.Kind)
+	Log     logrus.FieldLogger
 
 	active atomic.Int64
 }
@@ -181,6 +184,9 @@
 func (x *Receiver) refuse(w http.ResponseWriter, request *courier.Request, err error) {
 	x.log(request, err).Warn("request not served")
 	e := classifier.Classify(err)
+	if x.Refused != nil {
+		x.Refused(e.Kind)
+	}
 	status := classifier.AnswerOf(e.Kind).Status
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", seconds(e.RetryAfter))
--- a/router/site.go
+++ b/router/site.go
@@ -112,11 +112,12 @@
 // retryShare is the part of the retries allowed that the instances use.
 const retryShare = 0.6
 
-func newReceiver(o *observer.Observer, x *relayer.Relayer, log logrus.FieldLogger) *receiver.Receiver {
+func newReceiver(o *observer.Observer, x *relayer.Relayer, p *reporter.Reporter, log logrus.FieldLogger) *receiver.Receiver {
 	return &receiver.Receiver{
 		Observer: o,
 		Relayer:  x,
 		Codec:    translator.Codec{},
+		Refused:  p.Answered,
 		Log:      log,
 	}
 }
