Reproduce proper requests that an owner refuses as bad

Three cases, all red: an owner that has just started and has no configuration, one whose configuration is older than the entry's and lacks the rank, and one whose configuration is newer and has dropped it. The first hangs until the entry's next message and is then refused; the others are refused at once with bad-request (400).

--- a/router/granter/granter_test.go
+++ b/router/granter/granter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +29,7 @@
 type owner struct {
 	granter  *granter.Granter
 	observer *observer.Observer
+	asked    atomic.Int64
 }
 
 func newOwner(t *testing.T) *owner {
@@ -96,9 +99,9 @@
 	}
 	t.Cleanup(talk.Close)
 	m := &messenger.ToOwner{Pool: string(service)}
-	for i := range n {
+	for range n {
 		m.Asks = append(m.Asks, &messenger.Ask{
-			Request:      string(rune('a' + i)),
+			Request:      fmt.Sprintf("%s-%d", t.Name(), o.asked.Add(1)),
 			Customer:     "council",
 			Rank:         string(rank),
 			Weight:       1,
@@ -144,3 +147,49 @@
 		}
 	}
 }
+
+// TestProperRequestRefusedByOwnerThatStarts guards against an owner that has no
+// configuration yet and answers as if the entry's request were wrong.
+func TestProperRequestRefusedByOwnerThatStarts(t *testing.T) {
+	o := newOwner(t)
+	const n = 5
+	var group errgroup.Group
+	group.Go(func() error {
+		time.Sleep(50 * time.Millisecond)
+		o.configure(7, "urgent")
+		return nil
+	})
+	talk := o.ask(t, n, "urgent")
+	group.Wait()
+	granted(t, talk, n)
+}
+
+// TestProperRequestRefusedByOwnerOnOtherRevision guards against an owner whose
+// configuration lacks the rank that the entry's has.
+func TestProperRequestRefusedByOwnerOnOtherRevision(t *testing.T) {
+	const n = 5
+	t.Run("older", func(t *testing.T) {
+		o := newOwner(t)
+		o.configure(6, "batch")
+		granted(t, o.ask(t, n, "urgent"), n)
+	})
+	t.Run("newer", func(t *testing.T) {
+		o := newOwner(t)
+		o.configure(7, "urgent", "batch")
+		granted(t, o.ask(t, n, "urgent"), n)
+		o.configure(8, "batch")
+		granted(t, o.ask(t, n, "urgent"), n)
+	})
+}
+
+// granted requires that n asks are granted.
+func granted(t *testing.T, talk *granter.Local, n int) {
+	t.Helper()
+	grants, refusals := answers(t, talk, n)
+	if len(grants) != n {
+		t.Errorf("got %d grants, want %d", len(grants), n)
+	}
+	for _, r := range refusals {
+		t.Errorf("got a refusal of kind %s (%s), want a grant", r.GetKind(), r.GetDetail())
+	}
+}
