Let the owner of a pool schedule what an entry has admitted, whatever its own configuration

Cause: two instances judged one request by two configurations. The entry admits it by the configuration in force there; the owner then looked the rank up in its own and, if it was not there, refused it as a bad request. An owner lacks the rank while it has no configuration (it just started), an older one (a rank that came with a change) or a newer one (a rank that was dropped). A pool has one owner for all entries, so the more instances there are, the more requests fall into the gap.

Change: an ask bears its rank's terms (order, target, queue limit, longest wait), some ten bytes, which hold where the owner does not know the rank. Work in a rank that was dropped keeps its place; before, it passed as the most urgent. An owner without a configuration decides nothing: it lets a conversation wait for 0.2 s, and then the entry schedules alone. A pool takes a configuration up without waiting for the entry's next message. The scheduler has no way left to call a request bad.

--- a/router/acquirer/converse.go
+++ b/router/acquirer/converse.go
@@ -51,11 +51,22 @@
 		err = a.local(ctx, p, alone, func() bool { return time.Now().Before(until) })
 		if err != nil && !errors.Is(err, errMoved) {
 			a.Log.WithError(err).WithField("pool", p.service).Warn("not scheduled alone")
+			pause(ctx, time.Until(until))
 		}
 	}
 	return nil
 }
 
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func (a *Acquirer) owner(p *pool) (identifier.Instance, bool) {
 	return assigner.Owner(p.service, a.Observer.View().Live)
 }
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -239,10 +239,10 @@
 }
 
 func (g *Granter) decide(now time.Time, p *pool) {
+	g.refresh(p)
 	if !p.polled {
 		return
 	}
-	g.refresh(p)
 	batches := make(map[*Talk]*messenger.FromOwner)
 	for _, d := range p.scheduler.Decide(now) {
 		t, ok := p.askers[d.Request]
--- a/router/granter/serve.go
+++ b/router/granter/serve.go
@@ -18,6 +18,13 @@
 // ErrSilent says that the other end of a conversation went silent.
 var ErrSilent = errors.New("the conversation went silent")
 
+// ErrNoConfiguration says that the instance has no configuration to decide by.
+var ErrNoConfiguration = errors.New("no configuration is in force yet")
+
+// configurationWait is how long an entry's conversation waits for an owner that
+// has no configuration yet; then the entry had better schedule alone.
+const configurationWait = 200 * time.Millisecond
+
 // Stream is a conversation as drpc gives it to the owner.
 type Stream interface {
 	Context() context.Context
@@ -116,8 +123,13 @@
 	talk    *Talk
 }
 
-// Open begins a conversation about a pool.
+// Open begins a conversation about a pool. An instance that has just started
+// decides nothing before it has a configuration: Open waits for it for a moment,
+// and returns ErrNoConfiguration if it does not come.
 func (g *Granter) Open(ctx context.Context, key Key) (*Local, error) {
+	if err := g.awaitConfiguration(ctx); err != nil {
+		return nil, err
+	}
 	talk, err := looper.Get(ctx, g.Loop, func() *Talk {
 		if ctx.Err() != nil {
 			// Nobody is left to close the conversation.
@@ -131,6 +143,25 @@
 	}, errors.Wrap(err, "open pool")
 }
 
+// awaitConfiguration returns once a configuration is in force.
+func (g *Granter) awaitConfiguration(ctx context.Context) error {
+	if g.Observer.View().Declaration != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, configurationWait)
+	defer cancel()
+	look := time.NewTicker(decideInterval)
+	defer look.Stop()
+	for g.Observer.View().Declaration == nil {
+		select {
+		case <-ctx.Done():
+			return ErrNoConfiguration
+		case <-look.C:
+		}
+	}
+	return nil
+}
+
 // Send hands the owner a message.
 func (l *Local) Send(m *messenger.ToOwner) {
 	l.granter.Loop.Post(func() { l.granter.hear(time.Now(), l.talk, m) })
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"heatherhold.dev/core/declarer"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/scheduler"
@@ -22,6 +23,7 @@
 		Version:  identifier.Version(a.GetVersion()),
 		Resumed:  a.GetResumed(),
 		Moves:    identifier.Request(a.GetMoves()),
+		Terms:    rankOf(a.GetTerms()),
 	}
 	if a.GetFree() {
 		ask.Tier = identifier.Free
@@ -35,6 +37,32 @@
 	return ask
 }
 
+// TermsOf returns what an ask tells of its rank; nil if nothing is declared.
+func TermsOf(r *declarer.Rank) *messenger.Terms {
+	if r == nil {
+		return nil
+	}
+	return &messenger.Terms{
+		Order:           int32(r.Order),
+		BetweenTokensMs: r.BetweenTokens.Std().Milliseconds(),
+		QueueLimit:      int32(r.QueueLimit),
+		MaxWaitMs:       r.MaxWait.Std().Milliseconds(),
+	}
+}
+
+// rankOf returns the terms of an ask; nil if it bears none.
+func rankOf(t *messenger.Terms) *declarer.Rank {
+	if t == nil {
+		return nil
+	}
+	return &declarer.Rank{
+		Order:         int(t.GetOrder()),
+		BetweenTokens: identifier.DurationOf(time.Duration(t.GetBetweenTokensMs()) * time.Millisecond),
+		QueueLimit:    int(t.GetQueueLimit()),
+		MaxWait:       identifier.DurationOf(time.Duration(t.GetMaxWaitMs()) * time.Millisecond),
+	}
+}
+
 func heldOf(h *messenger.Held) scheduler.Held {
 	return scheduler.Held{
 		Ask:   askOf(h.GetAsk()),
--- a/router/observer/observer.go
+++ b/router/observer/observer.go
@@ -44,6 +44,18 @@
 	return max(len(v.Live), len(v.Peers)+1)
 }
 
+// Rank returns what is declared for a rank; nil if nothing is.
+func (v *View) Rank(name identifier.Rank) *declarer.Rank {
+	if v.Declaration == nil {
+		return nil
+	}
+	r, ok := v.Declaration.Rank[name]
+	if !ok {
+		return nil
+	}
+	return &r
+}
+
 // Size returns how many endpoints are listed for all services.
 func (v *View) Size() int {
 	n := 0
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -126,17 +126,17 @@
 		Order:    route.Order,
 		Deadline: deadline(request, route),
 	}
-	if route.Public || !v.Site.HasCustomers() {
-		return job, nil
-	}
-	customer, ok := v.Site.Customer(request.Key)
-	if !ok {
-		return relayer.Job{}, classifier.New(classifier.Unauthenticated, "the key is not known")
-	}
-	job.Customer = customer.Name
-	if customer.HasOrder {
-		job.Order = customer.Order
+	if !route.Public && v.Site.HasCustomers() {
+		customer, ok := v.Site.Customer(request.Key)
+		if !ok {
+			return relayer.Job{}, classifier.New(classifier.Unauthenticated, "the key is not known")
+		}
+		job.Customer = customer.Name
+		if customer.HasOrder {
+			job.Order = customer.Order
+		}
 	}
+	job.Rank = v.Rank(relayer.RankOf(job.Order))
 	return job, nil
 }
 
--- a/router/relayer/relayer.go
+++ b/router/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/courier"
+	"heatherhold.dev/core/declarer"
 	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/balancer"
@@ -50,8 +51,10 @@
 	Route    *cataloguer.Route
 	Service  identifier.Service
 	Customer identifier.Customer
-	// Order is the urgency, 0 first.
+	// Order is the urgency, 0 first, and Rank what is declared for it; nil if
+	// nothing is.
 	Order int
+	Rank  *declarer.Rank
 	// Deadline is when the caller's patience, or the route's, ends.
 	Deadline time.Time
 }
--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -19,6 +19,7 @@
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/exchanger"
+	"heatherhold.dev/router/granter"
 )
 
 // stream is one request to a model service.
@@ -187,6 +188,7 @@
 		Prefix:       xxhash.Sum64String(r.Prefix),
 		DataCentre:   string(s.relayer.DataCentre),
 		Resumed:      s.last.Load() > r.After,
+		Terms:        granter.TermsOf(s.job.Rank),
 	}
 	for _, l := range s.avoided() {
 		a.Avoid = append(a.Avoid, markOf(l))
--- a/router/scheduler/ask.go
+++ b/router/scheduler/ask.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "heatherhold.dev/core/identifier"
+import (
+	"heatherhold.dev/core/declarer"
+	"heatherhold.dev/core/identifier"
+)
 
 // Ask is a request that wants a chain.
 type Ask struct {
@@ -24,6 +27,9 @@
 	// Resumed is set if the caller holds a part of the answer already: such a
 	// request is never refused for load.
 	Resumed bool
+	// Terms are the rank's by the entry's configuration; nil if they are not
+	// told. They hold where the pool's policy does not know the rank.
+	Terms *declarer.Rank
 }
 
 // Held is a ticket that is in use, as an entry reports it to a new owner.
--- a/router/scheduler/class.go
+++ b/router/scheduler/class.go
@@ -18,8 +18,9 @@
 // class is one tier of one rank: the customers that wait in it and what they
 // have had.
 type class struct {
-	key       classKey
-	order     int
+	key classKey
+	// rank has the terms in force; guarantee is the tier's.
+	rank      declarer.Rank
 	guarantee float64
 	customers map[identifier.Customer]*account
 	waiting   int
@@ -54,15 +55,45 @@
 		key:       key,
 		customers: make(map[identifier.Customer]*account),
 	}
-	c.configure(p.policy.Ranks[a.Rank])
+	c.configure(p.terms(a))
 	p.classes[key] = c
 	p.order = append(p.order, c)
 	p.sortClasses()
 	return c
 }
 
+// terms returns what holds for a's rank. The entry has admitted a by its own
+// configuration, so a rank that the pool's policy does not know is no fault of a.
+func (p *Pool) terms(a Ask) declarer.Rank {
+	if rank, ok := p.policy.Ranks[a.Rank]; ok {
+		return rank
+	}
+	if a.Terms != nil {
+		return *a.Terms
+	}
+	return p.leastUrgent()
+}
+
+// leastUrgent returns the terms of the least urgent rank that is declared.
+func (p *Pool) leastUrgent() declarer.Rank {
+	var last declarer.Rank
+	for _, r := range p.policy.Ranks {
+		if r.Order >= last.Order {
+			last = r
+		}
+	}
+	return withoutShare(last)
+}
+
+// withoutShare returns terms that keep no part of the pool's tokens.
+func withoutShare(r declarer.Rank) declarer.Rank {
+	r.GuaranteedShare = 0
+	r.FreeShare = 0
+	return r
+}
+
 func (c *class) configure(rank declarer.Rank) {
-	c.order = rank.Order
+	c.rank = rank
 	c.guarantee = rank.GuaranteedShare
 	if c.key.tier == identifier.Free {
 		c.guarantee = rank.FreeShare
@@ -78,7 +109,7 @@
 	if c.key.tier != d.key.tier {
 		return c.key.tier == identifier.Paying
 	}
-	return c.order < d.order
+	return c.rank.Order < d.rank.Order
 }
 
 // account returns a customer's account, made on first use.
--- a/router/scheduler/preempt.go
+++ b/router/scheduler/preempt.go
@@ -14,7 +14,7 @@
 // Work of the same rank, and of a class that is itself below its guarantee, is
 // left alone.
 func (p *Pool) preempt(now time.Time, c *class) {
-	if c.key.tier != identifier.Paying || c.order != p.mostUrgent() || !p.owes(now, c) {
+	if c.key.tier != identifier.Paying || c.rank.Order > p.mostUrgent() || !p.owes(now, c) {
 		return
 	}
 	pending := 0
@@ -43,7 +43,7 @@
 // pressed counts the requests of c that have waited for so long that a chain is
 // asked back for them.
 func (p *Pool) pressed(now time.Time, c *class) int {
-	calm := time.Duration(calmPart * float64(p.policy.Ranks[c.key.rank].MaxWait.Std()))
+	calm := time.Duration(calmPart * float64(c.rank.MaxWait.Std()))
 	n := 0
 	for _, u := range c.customers {
 		for _, e := range u.queue {
@@ -67,7 +67,7 @@
 func (p *Pool) victim(now time.Time, c *class) *flight {
 	var best *flight
 	for _, f := range p.flights {
-		if f.revoked || !c.before(f.class) || f.class.order == c.order || p.owes(now, f.class) || !p.meets(c, f.chain) {
+		if f.revoked || !c.before(f.class) || f.class.rank.Order == c.rank.Order || p.owes(now, f.class) || !p.meets(c, f.chain) {
 			continue
 		}
 		if best == nil || better(f, best) {
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -129,7 +129,7 @@
 // meets reports whether a chain, with all slots in use, makes tokens at the
 // target of class c. Of an endpoint's layers only those in the chain count.
 func (p *Pool) meets(c *class, chain []identifier.Stage) bool {
-	target := p.policy.Ranks[c.key.rank].BetweenTokens.Std()
+	target := c.rank.BetweenTokens.Std()
 	total := time.Duration(0)
 	links := slowed{pool: p}
 	for i, s := range chain {
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -139,12 +139,17 @@
 	p.prefixes = newPrefixIndex()
 }
 
-// Configure puts a policy in force; queues and accounts stay.
+// Configure puts a policy in force; queues and accounts stay. What is under way
+// in a rank that was dropped goes on under its last terms, but for its share.
 func (p *Pool) Configure(policy Policy) {
 	p.prepare()
 	p.policy = policy
 	for _, c := range p.order {
-		c.configure(policy.Ranks[c.key.rank])
+		rank, ok := policy.Ranks[c.key.rank]
+		if !ok {
+			rank = withoutShare(c.rank)
+		}
+		c.configure(rank)
 	}
 	p.sortClasses()
 }
@@ -155,12 +160,8 @@
 	if p.known(a.Request) {
 		return
 	}
-	rank, ok := p.policy.Ranks[a.Rank]
-	if !ok {
-		p.refuse(a.Request, classifier.BadRequest, "there is no rank "+string(a.Rank), 0)
-		return
-	}
 	c := p.classOf(a)
+	rank := c.rank
 	e := &entry{
 		ask:      a,
 		cost:     p.cost(a),
@@ -311,10 +312,10 @@
 
 // tooSlow reports whether a request had better wait for a faster chain.
 func (p *Pool) tooSlow(now time.Time, c *class, e *entry, chain []identifier.Stage) bool {
-	if c.order != p.mostUrgent() || e.ask.Resumed || p.meets(c, chain) {
+	if c.rank.Order > p.mostUrgent() || e.ask.Resumed || p.meets(c, chain) {
 		return false
 	}
-	patience := time.Duration(patientPart * float64(p.policy.Ranks[c.key.rank].MaxWait.Std()))
+	patience := time.Duration(patientPart * float64(c.rank.MaxWait.Std()))
 	return now.Sub(e.since) < patience
 }
 
@@ -345,7 +346,7 @@
 	for _, c := range p.order {
 		for _, e := range c.expired(now) {
 			delete(p.waiting, e.ask.Request)
-			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited past its limit of %v", p.policy.Ranks[c.key.rank].MaxWait.Std())
+			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited past its limit of %v", c.rank.MaxWait.Std())
 			if !p.covered() {
 				kind, detail = classifier.NoChain, "no chain of endpoints covers every layer"
 			}
--- a/router/scheduler/scheduler_test.go
+++ b/router/scheduler/scheduler_test.go
@@ -248,3 +248,74 @@
 		t.Errorf("%d streams broken: got no work for %v, want 4 and at most %v", len(decisions), got, want)
 	}
 }
+
+// terms are a rank's that keeps no share of the pool.
+func terms(order int) declarer.Rank {
+	return declarer.Rank{
+		Order:         order,
+		BetweenTokens: identifier.DurationOf(time.Second),
+		QueueLimit:    50,
+		MaxWait:       identifier.DurationOf(time.Minute),
+	}
+}
+
+// declare puts ranks in force.
+func declare(p *scheduler.Pool, ranks map[identifier.Rank]declarer.Rank) {
+	p.Configure(scheduler.Policy{
+		Layers:  layers,
+		Version: "v1",
+		Ranks:   ranks,
+	})
+}
+
+// TestTermsOfUnknownRank requires that a rank that the policy does not know is
+// scheduled by what the entry tells of it.
+func TestTermsOfUnknownRank(t *testing.T) {
+	now := time.Unix(0, 0)
+	urgent, late := terms(0), terms(9)
+	for name, test := range map[string]struct {
+		terms *declarer.Rank
+		want  identifier.Request
+	}{
+		"more urgent": {terms: &urgent, want: "q2"},
+		"less urgent": {terms: &late, want: "q1"},
+		"not told":    {want: "q1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(0)
+			declare(p, map[identifier.Rank]declarer.Rank{"batch": terms(5)})
+			a, b := ask(1, "batch"), ask(2, "new")
+			b.Terms = test.terms
+			p.Ask(now, a)
+			p.Ask(now, b)
+			if got := granted(p, now); got != test.want {
+				t.Errorf("first: got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// TestDroppedRankKeepsItsPlace guards against work of a rank that a change drops
+// passing as the most urgent.
+func TestDroppedRankKeepsItsPlace(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := newPool(0)
+	declare(p, map[identifier.Rank]declarer.Rank{"batch": terms(5)})
+	p.Ask(now, ask(1, "batch"))
+	declare(p, map[identifier.Rank]declarer.Rank{"urgent": terms(1)})
+	p.Ask(now, ask(2, "urgent"))
+	if got, want := granted(p, now), identifier.Request("q2"); got != want {
+		t.Errorf("first: got %q, want %q", got, want)
+	}
+}
+
+// granted gives the pool endpoints and returns the first request that starts.
+func granted(p *scheduler.Pool, now time.Time) identifier.Request {
+	p.SetRunners(reports(3))
+	for _, d := range p.Decide(now) {
+		if d.Verdict == scheduler.Granted {
+			return d.Request
+		}
+	}
+	return ""
+}
--- a/router/server/model.go
+++ b/router/server/model.go
@@ -15,6 +15,7 @@
 	"heatherhold.dev/core/declarer"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/granter"
 	"heatherhold.dev/router/streamer"
 )
 
@@ -196,6 +197,7 @@
 			OutputTokens: int64(limit),
 			Prefix:       xxhash.Sum64String(g.prefix),
 			DataCentre:   string(s.DataCentre),
+			Terms:        granter.TermsOf(&rank),
 		},
 	}, nil
 }
--- a/router/streamer/streamer.go
+++ b/router/streamer/streamer.go
@@ -210,6 +210,7 @@
 		DataCentre:   r.work.Ask.GetDataCentre(),
 		Resumed:      r.started,
 		Version:      string(r.work.Version),
+		Terms:        r.work.Ask.GetTerms(),
 	}
 	for _, l := range r.avoid {
 		a.Avoid = append(a.Avoid, &messenger.Mark{
