Keep a pace for questions about the endpoints

Cause: every instance asks the store again as soon as an answer about the endpoints comes, and their rows change all the time (heartbeats), so calls grow with instances times endpoints; on a grown deployment they are most of what is charged. Ruled out: the feed of the configuration (its rows are still, a question is held for two seconds).

--- a/router/loader/loader.go
+++ b/router/loader/loader.go
@@ -51,6 +51,8 @@
 	Seeds []string `toml:"seeds"`
 	// Wait is how long the store holds a question until there is news.
 	Wait identifier.Duration `toml:"wait"`
+	// Pace is the least time between two questions about the endpoints.
+	Pace identifier.Duration `toml:"pace"`
 	// Lapse is how long after an outage of the store endpoints that left the
 	// list meanwhile are still believed in.
 	Lapse identifier.Duration `toml:"lapse"`
@@ -234,6 +236,7 @@
 		c.address("store.seeds", a)
 	}
 	c.between("store.wait", s.Store.Wait, shortest, time.Minute)
+	c.between("store.pace", s.Store.Pace, 0, time.Minute)
 	c.between("store.lapse", s.Store.Lapse, 0, time.Minute)
 	c.want(s.Store.RetryRatio >= 0, "store.retry-ratio", "want 0 or more, got %v", s.Store.RetryRatio)
 	c.want(s.Store.RetryBurst >= 0, "store.retry-burst", "want 0 or more, got %v", s.Store.RetryBurst)
--- a/router/site.go
+++ b/router/site.go
@@ -166,6 +166,7 @@
 			Store:  store,
 			Table:  translator.EndpointsTable,
 			Wait:   s.Store.Wait.Std(),
+			Pace:   s.Store.Pace.Std(),
 			Decode: translator.Endpoint,
 			Log:    log,
 		},
