Read a configuration that came from the platform once

An instance decoded each configuration of the store twice: when the row came, and when it was put in force. With 1,400 routes that holds an instance with a fifth of a core up while its entries already ask it. TestLargeConfigurationReadTwice: 2 further reads of two configurations before, none now.

--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -56,7 +56,10 @@
 	index    *authenticator.Index
 	edits    uint64
 	site     *cataloguer.Configuration
-	fleet    fleet
+	// decoded is the newest configuration that came from the platform itself, as
+	// it was read there.
+	decoded *cataloguer.Configuration
+	fleet   fleet
 	// head is the newest configuration that the platform was seen to have.
 	head identifier.Revision
 	live []identifier.Instance
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -119,6 +119,7 @@
 		if s.Configuration.Revision <= c.state.Revision() {
 			continue
 		}
+		c.decoded = s.Configuration
 		c.state.Restore(&messenger.Change{
 			Revision: uint64(s.Configuration.Revision),
 			Entries: []*messenger.Entry{{
--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,6 +76,12 @@
 
 // start runs a controller until the test ends.
 func start(t *testing.T) *instance {
+	t.Helper()
+	return startWith(t, func(*controller.Controller) {})
+}
+
+// startWith runs a controller whose source was changed until the test ends.
+func startWith(t *testing.T, change func(*controller.Controller)) *instance {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -100,6 +107,7 @@
 		Decode:         decode,
 		Lapse:          lapse,
 	}
+	change(i.controller)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return loop.Run(ctx) })
@@ -273,3 +281,23 @@
 		return v.Revision == 4 && len(v.Fleet["s"]) == 1 && names(v) == ""
 	})
 }
+
+// TestLargeConfigurationReadTwice guards against a configuration that is read
+// once more after it came from the platform, as it holds a slow instance up.
+func TestLargeConfigurationReadTwice(t *testing.T) {
+	var reads atomic.Int64
+	i := startWith(t, func(c *controller.Controller) {
+		c.Source.Decode = func(value []byte) (*cataloguer.Configuration, error) {
+			reads.Add(1)
+			return decode(value)
+		}
+	})
+	i.endpoints.changes <- whole()
+	i.sites.changes <- site(1)
+	i.wait(t, "revision 1", func(v *observer.View) bool { return v.Revision == 1 })
+	i.sites.changes <- site(2)
+	i.wait(t, "revision 2", func(v *observer.View) bool { return v.Revision == 2 })
+	if got := reads.Load(); got != 0 {
+		t.Errorf("reads after the platform's: got %d, want 0", got)
+	}
+}
--- a/router/controller/view.go
+++ b/router/controller/view.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/declarer"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
@@ -58,7 +59,7 @@
 // changes since the last time are known.
 func (c *Controller) parse() (*declarer.Declaration, error) {
 	if c.Source != nil {
-		site, err := c.Source.Decode(c.state.Document()[siteKey])
+		site, err := c.read()
 		if err != nil {
 			return nil, err
 		}
@@ -78,6 +79,15 @@
 	return c.state.Document().Refresh(c.parsed, c.Settings.Site, keys)
 }
 
+// read returns the platform's configuration in force: as it was read when it
+// came from the platform, else from what a peer has passed on.
+func (c *Controller) read() (*cataloguer.Configuration, error) {
+	if c.decoded != nil && c.decoded.Revision == c.state.Revision() {
+		return c.decoded, nil
+	}
+	return c.Source.Decode(c.state.Document()[siteKey])
+}
+
 func (c *Controller) peers() map[identifier.Instance]string {
 	peers := make(map[identifier.Instance]string)
 	for _, m := range c.state.Members() {
