Give the store's answer a head start over the seeds'

An instance that starts asked all its seeds for the configuration while the store sent it: a large one came four times over one slow link, and late each time. Seeds are now asked after 0.3 s, one after another until one has answered. TestSeedsAskedBesideStore: 2 exchanges where the store answers and 4 where it is away before, 0 and 1 now.

--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -238,15 +238,22 @@
 	})
 }
 
-// askSeeds exchanges with the seeds until the instance knows a configuration,
-// so that it can start while the platform's store is down.
+// seedDelay is the head start that the store's answer has over the seeds': a
+// large configuration that comes from all of them at once comes late from each.
+const seedDelay = 300 * time.Millisecond
+
+// askSeeds exchanges with one seed after another until the instance knows a
+// configuration, so that it can start while the platform's store is down.
 func (c *Controller) askSeeds(ctx context.Context) error {
+	if !pause(ctx, seedDelay) {
+		return nil
+	}
 	for {
-		revision, err := looper.Get(ctx, c.Loop, c.state.Revision)
-		if err != nil || revision > 0 {
-			return nil
-		}
 		for _, address := range c.Source.Seeds {
+			revision, err := looper.Get(ctx, c.Loop, c.state.Revision)
+			if err != nil || revision > 0 {
+				return nil
+			}
 			if address == c.Settings.Listen.Peer {
 				continue
 			}
--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -301,3 +301,36 @@
 		t.Errorf("reads after the platform's: got %d, want 0", got)
 	}
 }
+
+// TestSeedsAskedBesideStore guards against an instance that has its configuration
+// sent by all seeds while the store sends it: each then comes late.
+func TestSeedsAskedBesideStore(t *testing.T) {
+	seed := start(t)
+	seed.endpoints.changes <- whole()
+	seed.sites.changes <- site(3)
+	seed.wait(t, "revision 3", func(v *observer.View) bool { return v.Revision == 3 })
+	address := listen(t, seed.controller)
+	var asked atomic.Int64
+	seeded := func(c *controller.Controller) {
+		c.Source.Seeds = []string{address, address}
+		c.Exchanged = func(error) { asked.Add(1) }
+	}
+	t.Run("store answers", func(t *testing.T) {
+		i := startWith(t, seeded)
+		i.endpoints.changes <- whole()
+		i.sites.changes <- site(3)
+		i.wait(t, "revision 3", func(v *observer.View) bool { return v.Revision == 3 })
+		time.Sleep(soon)
+		if got := asked.Load(); got != 0 {
+			t.Errorf("exchanges with seeds: got %d, want 0", got)
+		}
+	})
+	t.Run("store is away", func(t *testing.T) {
+		i := startWith(t, seeded)
+		i.endpoints.changes <- whole()
+		i.wait(t, "revision 3", func(v *observer.View) bool { return v.Revision == 3 })
+		if got := asked.Load(); got != 1 {
+			t.Errorf("exchanges with seeds: got %d, want 1", got)
+		}
+	})
+}
