Count and log requests that end before a handler runs

What callers saw: net/http answers a head that is too large (431), malformed (400), of another coding (501) or expectation (417) by itself, and drops one that is slow. What operators saw: nothing, no line and no metric. Cause: no handler runs for them. Change: the callers' listener gives out connections that note a head's first byte, size, first line and net/http's own status; ConnState and the handler say how far the request came. One that ends before its handler ran is counted in heatherhold_requests_not_taken_total{reason} and told in a line "request not taken in" (at most 10 a second). A first byte that comes while the request before is served is kept too. Nothing of the limits changes here. Evidence: TestNotTakenIsTold (six ways; on a new connection, after a request and during one); with the call of conn.enter taken out, all its eighteen cases and TestLinesAreBounded fail; 25 runs with -race pass. It shows on the way that net/http answers 400 to a head that is slow, or cut, in the middle of a line: the reason tells those (timeout, caller) from heads that are malformed.

--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -63,6 +63,11 @@
 	p.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_requests_total{service=%q,order="%d",outcome=%q}`, s, order, outcome)).Inc()
 }
 
+// NotTaken counts a request that ended before a handler ran, by the reason.
+func (p *Reporter) NotTaken(reason string) {
+	p.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_requests_not_taken_total{reason=%q}`, reason)).Inc()
+}
+
 // Stream is what the caller of one stream saw.
 type Stream struct {
 	// Queued is the time spent waiting for chains, First the time to the first
--- a/router/site.go
+++ b/router/site.go
@@ -22,6 +22,7 @@
 	"heatherhold.dev/router/estimator"
 	"heatherhold.dev/router/exchanger"
 	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/limiter"
 	"heatherhold.dev/router/loader"
 	"heatherhold.dev/router/logger"
 	"heatherhold.dev/router/looper"
@@ -66,6 +67,7 @@
 		newOrderer,
 		newRelayer,
 		newReceiver,
+		newLimiter,
 		newConductor,
 	),
 	fx.Invoke(wireSite, watchSite, runSite),
@@ -122,6 +124,18 @@
 	}
 }
 
+func newLimiter(s *loader.Settings, p *reporter.Reporter, log logrus.FieldLogger) *limiter.Limiter {
+	x := limiter.New()
+	x.Settings = cataloguer.Limits{
+		HeaderBytes:   s.Caller.HeaderLimit,
+		HeaderTimeout: s.Caller.HeaderTimeout.Std(),
+		IdleTimeout:   s.Caller.IdleTimeout.Std(),
+	}
+	x.Reporter = p
+	x.Log = log
+	return x
+}
+
 func newConductor(s *loader.Settings, o *observer.Observer, store *storer.Client, orders *orderer.Client, p *reporter.Reporter, log logrus.FieldLogger) *conductor.Conductor {
 	return &conductor.Conductor{
 		Observer: o,
--- a/router/sitedaemon.go
+++ b/router/sitedaemon.go
@@ -23,6 +23,7 @@
 	"heatherhold.dev/router/dialer"
 	"heatherhold.dev/router/exchanger"
 	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/limiter"
 	"heatherhold.dev/router/loader"
 	"heatherhold.dev/router/looper"
 	"heatherhold.dev/router/observer"
@@ -53,6 +54,7 @@
 	Dialer     *dialer.Dialer
 	Observer   *observer.Observer
 	Receiver   *receiver.Receiver
+	Limiter    *limiter.Limiter
 	Relayer    *relayer.Relayer
 	Exchanger  *exchanger.Exchanger
 	Conductor  *conductor.Conductor
@@ -138,11 +140,10 @@
 		cancel()
 		return err
 	}
-	s.caller = newHTTPServer(p.Settings, p.Receiver, nil)
-	s.caller.IdleTimeout = p.Settings.Caller.IdleTimeout.Std()
+	s.caller = p.Limiter.Server(p.Receiver)
 	s.run("callers", func() error {
 		s.limit(ctx)
-		return serveHTTP(ctx, s.caller, callers)
+		return serveHTTP(ctx, s.caller, p.Limiter.Listen(callers))
 	})
 	servers := map[string]*http.Server{
 		p.Settings.Listen.Ready:    newHTTPServer(p.Settings, http.HandlerFunc(p.Receiver.Ready), nil),
