Hold callers to the limits in force

What callers saw: at an instance that knew no configuration half a second after its start, or whose configuration had changed since, heads that the declared limit allows got 431, and connections were closed by header and idle timeouts of the settings or of an old configuration. A connection on which no request had begun was closed by the header's timeout instead of the idle one. Cause: the server's fields were set once before it served; net/http reads them without a lock, so they can't be set later. The connection sets the read deadline itself: idle timeout until a request's first byte, header timeout from then on, both by the view at the time; a read that meets a deadline which a new configuration has put off goes on. Nothing is set while a request is served. Weighed: deadlines in ConnState (net/http sets its own after the hook, and does not tell of the first byte); one server for each set of limits (Shutdown closes idle connections at once, on which callers are about to send). An instance that starts still lets callers wait up to half a second for a first configuration; the line about it now says so.

--- a/core/classifier/classifier.go
+++ b/core/classifier/classifier.go
@@ -20,6 +20,7 @@
 	Forbidden          Kind = "forbidden"
 	NotFound           Kind = "not-found"
 	TooLarge           Kind = "too-large"
+	HeaderTooLarge     Kind = "header-too-large"
 	KeyReused          Kind = "key-reused"
 	Conflict           Kind = "conflict"
 	Overloaded         Kind = "overloaded"
@@ -57,6 +58,7 @@
 	Forbidden:          {Status: http.StatusForbidden, Ran: RanNo},
 	NotFound:           {Status: http.StatusNotFound, Ran: RanNo},
 	TooLarge:           {Status: http.StatusRequestEntityTooLarge, Ran: RanNo},
+	HeaderTooLarge:     {Status: http.StatusRequestHeaderFieldsTooLarge, Ran: RanNo},
 	KeyReused:          {Status: http.StatusUnprocessableEntity, Ran: RanNo},
 	Conflict:           {Status: http.StatusConflict, Ran: RanNo},
 	Overloaded:         {Status: http.StatusTooManyRequests, Ran: RanNo},
--- a/router/limiter/conn.go
+++ b/router/limiter/conn.go
@@ -31,9 +31,9 @@
 	limiter *Limiter
 
 	phase phase
-	// begun is when the head's first byte came, size what came since, start the
+	// since is when the phase began; size is what came of the head, start the
 	// first bytes of it, and err how the last read ended.
-	begun time.Time
+	since time.Time
 	size  int
 	start []byte
 	err   error
@@ -52,6 +52,7 @@
 		c.phase = judged
 	case http.StateIdle:
 		c.phase = waiting
+		c.since = time.Now()
 		c.size = 0
 		c.start = c.start[:0]
 		c.status = ""
@@ -68,16 +69,46 @@
 
 // Read reads, and notes what belongs to a request's head.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if c.phase != judged {
-		c.note(p[:n], err)
-	} else if len(p) == 1 {
-		// net/http reads a body through a larger buffer.
-		c.ahead = append(c.ahead, p[:n]...)
+	if c.phase == judged {
+		n, err := c.Conn.Read(p)
+		if len(p) == 1 {
+			// net/http reads a body through a larger buffer.
+			c.ahead = append(c.ahead, p[:n]...)
+		}
+		return n, err
 	}
+	n, err := c.read(p)
+	c.note(p[:n], err)
 	return n, err
 }
 
+// read reads within the timeouts in force. A read that meets the end of its time
+// goes on if a configuration has come meanwhile that gives it more.
+func (c *conn) read(p []byte) (int, error) {
+	for {
+		if err := c.SetReadDeadline(c.end()); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if n > 0 || !timedOut(err) || !time.Now().Before(c.end()) {
+			return n, err
+		}
+	}
+}
+
+// end returns when the wait for a request, or for its head, is over.
+func (c *conn) end() time.Time {
+	if c.phase == waiting {
+		return c.since.Add(c.limiter.idleTimeout())
+	}
+	return c.since.Add(c.limiter.headerTimeout())
+}
+
+func timedOut(err error) bool {
+	var fault net.Error
+	return errors.As(err, &fault) && fault.Timeout()
+}
+
 func (c *conn) note(p []byte, err error) {
 	c.err = err
 	if len(p) == 0 {
@@ -85,7 +116,7 @@
 	}
 	if c.phase == waiting {
 		c.phase = reading
-		c.begun = time.Now()
+		c.since = time.Now()
 	}
 	c.size += len(p)
 	c.start = append(c.start, p[:min(len(p), lineLimit-len(c.start))]...)
@@ -117,11 +148,10 @@
 // reason says why a request ended before a handler ran: the connection failed,
 // or else the status that net/http answered.
 func (c *conn) reason() string {
-	var fault net.Error
 	switch {
 	case errors.Is(c.err, net.ErrClosed):
 		return "stopping"
-	case errors.As(c.err, &fault) && fault.Timeout():
+	case timedOut(c.err):
 		return "timeout"
 	case c.err != nil:
 		return "caller"
--- a/router/limiter/limiter.go
+++ b/router/limiter/limiter.go
@@ -1,6 +1,6 @@
-// Package limiter serves callers' connections. It tells of requests that ended
-// before a handler ran: net/http answers or drops those by itself, and no one
-// else sees them.
+// Package limiter serves callers' connections. It holds them to the timeouts in
+// force, and tells of requests that ended before a handler ran: net/http answers
+// or drops those by itself, and no one else sees them.
 package limiter
 
 import (
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
-	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/router/observer"
 	"heatherhold.dev/router/reporter"
 )
 
@@ -21,15 +21,20 @@
 	// in, and lineBurst how many at once; all are counted.
 	lineRate  = 10
 	lineBurst = 50
+	// headCeiling bounds the memory that a head takes, in bytes. It is far above
+	// what operators declare; the handler holds each head to that.
+	headCeiling = 1 << 20
 )
 
 // Limiter serves callers' connections. Make it with New and set the exported
 // fields first.
 type Limiter struct {
+	Observer *observer.Observer
 	Reporter *reporter.Reporter
 	Log      logrus.FieldLogger
-	// Settings are the limits that hold until a configuration is known.
-	Settings cataloguer.Limits
+	// HeaderTimeout and IdleTimeout hold where no configuration sets others.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 
 	lines *rate.Limiter
 }
@@ -44,10 +49,8 @@
 
 // Server returns a server of h for the connections of Listen.
 func (x *Limiter) Server(h http.Handler) *http.Server {
-	return &http.Server{
-		ReadHeaderTimeout: x.Settings.HeaderTimeout,
-		IdleTimeout:       x.Settings.IdleTimeout,
-		MaxHeaderBytes:    x.Settings.HeaderBytes,
+	return &http.Server{ //nolint:gosec // conn.Read sets the timeouts, since they change.
+		MaxHeaderBytes: headCeiling,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 				c.served = true
@@ -87,9 +90,26 @@
 	return &conn{
 		Conn:    c,
 		limiter: l.limiter,
+		since:   time.Now(),
 	}, nil
 }
 
+// headerTimeout is the longest time from a head's first byte to its last.
+func (x *Limiter) headerTimeout() time.Duration {
+	if site := x.Observer.View().Site; site != nil && site.Limits.HeaderTimeout > 0 {
+		return site.Limits.HeaderTimeout
+	}
+	return x.HeaderTimeout
+}
+
+// idleTimeout is the longest wait for a request's first byte.
+func (x *Limiter) idleTimeout() time.Duration {
+	if site := x.Observer.View().Site; site != nil && site.Limits.IdleTimeout > 0 {
+		return site.Limits.IdleTimeout
+	}
+	return x.IdleTimeout
+}
+
 // tell counts a request that ended before a handler ran, and logs what is known
 // of it.
 func (x *Limiter) tell(c *conn) {
@@ -104,6 +124,6 @@
 		"status":  c.status,
 		"line":    c.line(),
 		"bytes":   c.size,
-		"held-ms": time.Since(c.begun).Milliseconds(),
+		"held-ms": time.Since(c.since).Milliseconds(),
 	}).Warn("request not taken in")
 }
--- a/router/limiter/limiter_test.go
+++ b/router/limiter/limiter_test.go
@@ -16,6 +16,7 @@
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/router/limiter"
+	"heatherhold.dev/router/observer"
 	"heatherhold.dev/router/reporter"
 )
 
@@ -59,7 +60,10 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	b.limiter.Log = log
 	b.limiter.Reporter = reporter.New(nil)
-	b.limiter.Settings = limits
+	b.limiter.HeaderTimeout = patience
+	b.limiter.IdleTimeout = patience
+	b.limiter.Observer = observer.New()
+	b.declare(limits)
 	b.server = b.limiter.Server(serve)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -75,6 +79,13 @@
 	return b
 }
 
+// declare puts limits in force.
+func (b *bed) declare(limits cataloguer.Limits) {
+	site := &cataloguer.Configuration{Limits: limits}
+	site.Prepare()
+	b.limiter.Observer.Publish(&observer.View{Site: site})
+}
+
 func (b *bed) dial(t *testing.T) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", b.address)
@@ -123,28 +134,26 @@
 // TestNotTakenIsTold guards against requests that end before a handler runs
 // without a trace.
 func TestNotTakenIsTold(t *testing.T) {
-	long := strings.Repeat("x", 20<<10)
+	long := strings.Repeat("x", 2<<20)
 	for _, c := range []struct {
-		name   string
-		head   string
-		close  bool
-		reason string
-		line   string
+		name    string
+		head    string
+		timeout time.Duration
+		close   bool
+		reason  string
+		line    string
 	}{
 		{name: "too large", head: "GET /a HTTP/1.1\r\nHost: h\r\nLong: " + long, reason: "431", line: "GET /a HTTP/1.1"},
 		{name: "malformed", head: "GET /a?secret HTTP/1.1\r\nno colon\r\n\r\n", reason: "400", line: "GET /a"},
 		{name: "other coding", head: "GET /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: other\r\n\r\n", reason: "501", line: "GET /a HTTP/1.1"},
 		{name: "other expectation", head: "GET /a HTTP/1.1\r\nHost: h\r\nExpect: other\r\n\r\n", reason: "417", line: "GET /a HTTP/1.1"},
-		{name: "slow", head: "GET /a HTTP/1.1\r\nHo", reason: "timeout", line: "GET /a HTTP/1.1"},
+		{name: "slow", head: "GET /a HTTP/1.1\r\nHo", timeout: 100 * time.Millisecond, reason: "timeout", line: "GET /a HTTP/1.1"},
 		{name: "caller closes", head: "GET /a HTTP/1.1\r\nHo", close: true, reason: "caller", line: "GET /a HTTP/1.1"},
 	} {
 		for _, before := range []string{"", "served", "being served"} {
 			t.Run(c.name+", another "+before, func(t *testing.T) {
 				sent := make(chan struct{})
-				b := newBed(t, func(http.ResponseWriter, *http.Request) { <-sent }, cataloguer.Limits{
-					HeaderBytes:   8 << 10,
-					HeaderTimeout: 100 * time.Millisecond,
-				})
+				b := newBed(t, func(http.ResponseWriter, *http.Request) { <-sent }, cataloguer.Limits{HeaderTimeout: c.timeout})
 				conn := b.dial(t)
 				switch before {
 				case "served":
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -103,6 +103,9 @@
 			RetryAfter: staleRetry,
 		}
 	}
+	if err := head(r, v.Site.Limits.HeaderBytes); err != nil {
+		return false, err
+	}
 	job, err := x.job(v, r, request)
 	if err != nil {
 		return false, err
--- a/router/site.go
+++ b/router/site.go
@@ -124,13 +124,11 @@
 	}
 }
 
-func newLimiter(s *loader.Settings, p *reporter.Reporter, log logrus.FieldLogger) *limiter.Limiter {
+func newLimiter(s *loader.Settings, o *observer.Observer, p *reporter.Reporter, log logrus.FieldLogger) *limiter.Limiter {
 	x := limiter.New()
-	x.Settings = cataloguer.Limits{
-		HeaderBytes:   s.Caller.HeaderLimit,
-		HeaderTimeout: s.Caller.HeaderTimeout.Std(),
-		IdleTimeout:   s.Caller.IdleTimeout.Std(),
-	}
+	x.HeaderTimeout = s.Caller.HeaderTimeout.Std()
+	x.IdleTimeout = s.Caller.IdleTimeout.Std()
+	x.Observer = o
 	x.Reporter = p
 	x.Log = log
 	return x
--- a/router/sitedaemon.go
+++ b/router/sitedaemon.go
@@ -142,7 +142,7 @@
 	}
 	s.caller = p.Limiter.Server(p.Receiver)
 	s.run("callers", func() error {
-		s.limit(ctx)
+		s.await(ctx)
 		return serveHTTP(ctx, s.caller, p.Limiter.Listen(callers))
 	})
 	servers := map[string]*http.Server{
@@ -171,34 +171,28 @@
 	return nil
 }
 
-// limitWait is how long callers wait at most for an instance that starts to
-// learn their limits; then those of the settings hold.
-const limitWait = 500 * time.Millisecond
+const (
+	// startWait is how long callers wait at most for an instance that starts to
+	// know a configuration; then they are refused until it does.
+	startWait = 500 * time.Millisecond
+	// startPause is the time between two looks.
+	startPause = 20 * time.Millisecond
+)
 
-// limit sets the callers' limits as operators have declared them.
-func (s *site) limit(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, limitWait)
+// await returns once a configuration is known, or startWait has passed.
+func (s *site) await(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, startWait)
 	defer cancel()
-	t := time.NewTicker(limitWait / 25)
+	t := time.NewTicker(startPause)
 	defer t.Stop()
 	for s.parts.Observer.View().Site == nil {
 		select {
 		case <-ctx.Done():
-			s.parts.Log.Warn("callers' limits not known in time; those of the settings hold")
+			s.parts.Log.Warn("no configuration known in time; callers are refused until one is")
 			return
 		case <-t.C:
 		}
 	}
-	limits := s.parts.Observer.View().Site.Limits
-	if limits.HeaderTimeout > 0 {
-		s.caller.ReadHeaderTimeout = limits.HeaderTimeout
-	}
-	if limits.IdleTimeout > 0 {
-		s.caller.IdleTimeout = limits.IdleTimeout
-	}
-	if limits.HeaderBytes > 0 {
-		s.caller.MaxHeaderBytes = limits.HeaderBytes
-	}
 }
 
 // operator serves metrics.
