Answer a slow head with 408, not 400

What callers saw: 400 to a proper request whose head met the header's timeout in the middle of a line, and no answer where it met it between two lines. Callers don't ask again after 400, though the request did not run. Cause: net/http takes the part of the line that came for a malformed one. Evidence: TestSlowHeadIsNoBadRequest failed before: status 400, none, 400 for heads that stop in the first line, after it, and in a header field. Change: the connection's read that meets the header's timeout answers 408, which is true here (not run, and never will be), and drops what net/http writes after.

--- a/router/limiter/conn.go
+++ b/router/limiter/conn.go
@@ -39,7 +39,7 @@
 	err   error
 	// ahead is the next request's first byte, if it came while a handler ran.
 	ahead []byte
-	// status is what net/http answered by itself.
+	// status is what was answered without a handler.
 	status string
 	// served is set once a handler has run.
 	served bool
@@ -79,9 +79,24 @@
 	}
 	n, err := c.read(p)
 	c.note(p[:n], err)
+	if c.phase == reading && timedOut(err) {
+		return n, c.giveUp(err)
+	}
 	return n, err
 }
 
+// late answers a head that did not come in time: the request did not run.
+const late = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// giveUp answers a head that did not come in time. net/http by itself would close
+// the connection, or say 400 if the head stops in the middle of a line.
+func (c *conn) giveUp(err error) error {
+	if _, failed := c.Write([]byte(late)); failed != nil {
+		return failed
+	}
+	return err
+}
+
 // read reads within the timeouts in force. A read that meets the end of its time
 // goes on if a configuration has come meanwhile that gives it more.
 func (c *conn) read(p []byte) (int, error) {
@@ -129,8 +144,12 @@
 	statusEnd   = len("HTTP/1.1 400")
 )
 
-// Write writes, and notes the status of an answer that is net/http's own.
+// Write writes, and notes the status of an answer that is no handler's. After
+// late nothing more is written.
 func (c *conn) Write(p []byte) (int, error) {
+	if !c.served && c.status != "" && timedOut(c.err) {
+		return len(p), nil
+	}
 	if !c.served && len(p) >= statusEnd {
 		c.status = string(p[statusStart:statusEnd])
 	}
--- a/router/limiter/force_test.go
+++ b/router/limiter/force_test.go
@@ -198,3 +198,19 @@
 		}
 	}
 }
+
+// TestSlowHeadIsNoBadRequest guards against 400 for a head that is slow in the
+// middle of a line; callers don't ask again after it.
+func TestSlowHeadIsNoBadRequest(t *testing.T) {
+	for _, start := range []string{"GET /a HT", "GET /a HTTP/1.1\r\n", "GET /a HTTP/1.1\r\nHo"} {
+		b := newRouter(t)
+		b.declare(cataloguer.Limits{HeaderTimeout: short / 4})
+		c := b.dial(t)
+		if got, want := status(t, c, start), 408; got != want {
+			t.Errorf("%q: got status %d, want %d", start, got, want)
+		}
+		if rest, err := io.ReadAll(c); len(rest) > 0 || err != nil {
+			t.Errorf("%q: got %q, error %v after the answer, want the end", start, rest, err)
+		}
+	}
+}
