Carry out a request by the configuration that admitted it

What callers saw: 503 ("the service is not declared") to a request that was admitted, when a configuration without its service came into force while its body was read. Its lines bore the revision in force at their time, not the one that decided. Cause: the receiver judged by one view, and the relayer looked the service up in the next; the log did so once more. Change: the receiver takes one view for the whole request; the job carries the revision and the service's engine. A service that is not declared is refused where route and key are judged, after them as before. Endpoints are still read anew for each attempt: those that leave or are new must count at once, and a configuration does not change the list. Changed tests: the relayer's jobs in bed_test.go and relayer_test.go name the engine that the relayer looked up before; nothing is checked less.

--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -59,44 +59,44 @@
 	if x.Observer.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	v := x.Observer.View()
 	request, err := x.Codec.Request(r)
 	if err != nil {
-		x.refuse(w, request, classifier.New(classifier.BadRequest, err.Error()))
+		x.refuse(w, v, request, classifier.New(classifier.BadRequest, err.Error()))
 		return
 	}
-	started, err := x.serve(w, r, request)
+	started, err := x.serve(w, r, v, request)
 	if err == nil {
 		return
 	}
 	if errors.Is(r.Context().Err(), context.Canceled) {
-		x.log(request, err).Info("caller went away")
+		x.log(v, request, err).Info("caller went away")
 		panic(http.ErrAbortHandler)
 	}
 	if started {
 		// A part of the answer is out: only a broken connection tells the
 		// caller that it is not whole.
-		x.log(request, err).Warn("answer broken off")
+		x.log(v, request, err).Warn("answer broken off")
 		panic(http.ErrAbortHandler)
 	}
-	x.refuse(w, request, err)
+	x.refuse(w, v, request, err)
 }
 
-// log returns a log for the end of a request that was not served.
-func (x *Receiver) log(request *courier.Request, err error) *logrus.Entry {
+// log returns a log for the end of a request that was not served and was judged
+// by v.
+func (x *Receiver) log(v *observer.View, request *courier.Request, err error) *logrus.Entry {
 	e := classifier.Classify(err)
 	return x.Log.WithError(err).WithFields(logrus.Fields{
 		"request":  request.ID,
 		"kind":     e.Kind,
 		"status":   classifier.AnswerOf(e.Kind).Status,
-		"revision": x.Observer.View().Revision,
+		"revision": v.Revision,
 		"held-ms":  time.Since(request.Received).Milliseconds(),
 	})
 }
 
-func (x *Receiver) serve(w http.ResponseWriter, r *http.Request, request *courier.Request) (bool, error) {
-	now := time.Now()
-	v := x.Observer.View()
-	if v.Site == nil || !x.Observer.Confirmed(now) {
+func (x *Receiver) serve(w http.ResponseWriter, r *http.Request, v *observer.View, request *courier.Request) (bool, error) {
+	if v.Site == nil || !x.Observer.Confirmed(time.Now()) {
 		return false, &classifier.Error{
 			Kind:       classifier.StaleConfiguration,
 			Detail:     "the instance has no configuration that is known to be in force",
@@ -124,6 +124,7 @@
 	}
 	job := relayer.Job{
 		Request:  request,
+		Revision: v.Revision,
 		Route:    route,
 		Service:  route.Pick(rand.Float64()),
 		Order:    route.Order,
@@ -140,6 +141,11 @@
 		}
 	}
 	job.Rank = v.Rank(relayer.RankOf(job.Order))
+	service, ok := v.Site.Services[job.Service]
+	if !ok {
+		return relayer.Job{}, classifier.New(classifier.NoChain, "the service is not declared")
+	}
+	job.Engine = service.Engine
 	return job, nil
 }
 
@@ -184,8 +190,8 @@
 }
 
 // refuse answers a request of which nothing was answered yet.
-func (x *Receiver) refuse(w http.ResponseWriter, request *courier.Request, err error) {
-	x.log(request, err).Warn("request not served")
+func (x *Receiver) refuse(w http.ResponseWriter, v *observer.View, request *courier.Request, err error) {
+	x.log(v, request, err).Warn("request not served")
 	e := classifier.Classify(err)
 	if x.Refused != nil {
 		x.Refused(e.Kind)
--- a/router/relayer/bed_test.go
+++ b/router/relayer/bed_test.go
@@ -241,6 +241,7 @@
 	tickets *tickets
 	orders  *orders
 	route   cataloguer.Route
+	engine  *cataloguer.Engine
 }
 
 func newBed(repetition cataloguer.Repetition, streams bool, endpoints ...*endpoint) *bed {
@@ -273,6 +274,7 @@
 			Stride: 1,
 		}
 	}
+	b.engine = service.Engine
 	v.Site = &cataloguer.Configuration{Services: map[identifier.Service]cataloguer.Service{"s": service}}
 	o := observer.New()
 	o.Publish(v)
@@ -305,6 +307,7 @@
 		},
 		Route:    &b.route,
 		Service:  "s",
+		Engine:   b.engine,
 		Deadline: time.Now().Add(patience),
 	})
 	return w, started, err
--- a/router/relayer/relayer.go
+++ b/router/relayer/relayer.go
@@ -45,11 +45,16 @@
 	Repath(ctx context.Context, id identifier.Request, chain []identifier.Stage) (string, error)
 }
 
-// Job is one request and what is declared for it.
+// Job is one request and what was declared for it when it was admitted; what
+// is declared later does not concern it.
 type Job struct {
-	Request  *courier.Request
+	Request *courier.Request
+	// Revision is that of the configuration that admitted the request.
+	Revision identifier.Revision
 	Route    *cataloguer.Route
 	Service  identifier.Service
+	// Engine describes the service's model engines; nil for plain services.
+	Engine   *cataloguer.Engine
 	Customer identifier.Customer
 	// Order is the urgency, 0 first, and Rank what is declared for it; nil if
 	// nothing is.
@@ -85,16 +90,12 @@
 func (x *Relayer) Serve(ctx context.Context, w http.ResponseWriter, j Job) (started bool, err error) {
 	ctx, cancel := context.WithDeadline(ctx, j.Deadline)
 	defer cancel()
-	service, ok := x.Observer.View().Site.Services[j.Service]
-	if !ok {
-		return false, classifier.New(classifier.NoChain, "the service is not declared")
-	}
 	x.budget(time.Now(), j.Service).Earn()
-	if service.Engine != nil {
+	if j.Engine != nil {
 		s := &stream{
 			relayer: x,
 			job:     j,
-			engine:  service.Engine,
+			engine:  j.Engine,
 			w:       w,
 			timing:  timing{begun: time.Now()},
 		}
@@ -168,6 +169,6 @@
 		"service":  j.Service,
 		"customer": j.Customer,
 		"order":    j.Order,
-		"revision": x.Observer.View().Revision,
+		"revision": j.Revision,
 	})
 }
--- a/router/relayer/relayer_test.go
+++ b/router/relayer/relayer_test.go
@@ -143,6 +143,7 @@
 				Request:  &courier.Request{ID: "r2"},
 				Route:    &b.route,
 				Service:  "s",
+				Engine:   b.engine,
 				Deadline: time.Now(),
 			})
 		}
