--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -171,24 +170,6 @@
 	busyRetry = 500 * time.Millisecond
 )
 
-func body(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	data, err := io.ReadAll(r.Body)
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, classifier.New(classifier.TooLarge, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	if err != nil {
-		return nil, classifier.Wrap(classifier.Cancelled, err, "the body was not read")
-	}
-	return data, nil
-}
-
 // refuse answers a request of which nothing was answered yet.
 func (x *Receiver) refuse(w http.ResponseWriter, v *observer.View, request *courier.Request, err error) {
 	x.log(v, request, err).Warn("request not served")
