Answer a slow body with 408 within the request's time

What callers saw: nothing, for as long as they sent no more of their body; with a refusal (run for 404) neither, since net/http reads what is left of the body before it answers. Such requests were unanswered past their route's time. Cause: nothing bounded the time of a body. Change: a body is waited for until the caller's patience or the route's time ends; then the answer is 408 (too-slow, not run), or the refusal that was due. net/http takes the deadline off with the body's end, so that nothing else is cut. Evidence: TestBrokenBodyIsNoCancellation failed before in its cases "slow", "slow chunk" and "slow, no route": no answer within 10 s at a patience of 200 ms. TestBodyDeadlineEndsWithTheBody holds the next requests on the connection.

--- a/core/classifier/classifier.go
+++ b/core/classifier/classifier.go
@@ -19,6 +19,7 @@
 	Unauthenticated    Kind = "unauthenticated"
 	Forbidden          Kind = "forbidden"
 	NotFound           Kind = "not-found"
+	TooSlow            Kind = "too-slow"
 	TooLarge           Kind = "too-large"
 	HeaderTooLarge     Kind = "header-too-large"
 	KeyReused          Kind = "key-reused"
@@ -57,6 +58,7 @@
 	Unauthenticated:    {Status: http.StatusUnauthorized, Ran: RanNo},
 	Forbidden:          {Status: http.StatusForbidden, Ran: RanNo},
 	NotFound:           {Status: http.StatusNotFound, Ran: RanNo},
+	TooSlow:            {Status: http.StatusRequestTimeout, Ran: RanNo},
 	TooLarge:           {Status: http.StatusRequestEntityTooLarge, Ran: RanNo},
 	HeaderTooLarge:     {Status: http.StatusRequestHeaderFieldsTooLarge, Ran: RanNo},
 	KeyReused:          {Status: http.StatusUnprocessableEntity, Ran: RanNo},
--- a/router/receiver/body_test.go
+++ b/router/receiver/body_test.go
@@ -31,7 +31,8 @@
 	}
 }
 
-// TestBrokenBodyIsNoCancellation guards against 499 for callers who are still there.
+// TestBrokenBodyIsNoCancellation guards against 499, or no answer in time, for
+// callers who are still there and whose body is broken or slow.
 func TestBrokenBodyIsNoCancellation(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -41,8 +42,11 @@
 		status int
 		kind   string
 	}{
+		{name: "slow", path: "/orders/1", header: "Content-Length: 3", body: "a", status: 408, kind: "too-slow"},
+		{name: "slow chunk", path: "/orders/1", header: "Transfer-Encoding: chunked", body: "3\r\na", status: 408, kind: "too-slow"},
 		{name: "broken chunk", path: "/orders/1", header: "Transfer-Encoding: chunked", body: "zz\r\n", status: 400, kind: "bad-request"},
 		{name: "too many chunks", path: "/orders/1", header: "Transfer-Encoding: chunked", body: "8\r\n12345678\r\n", status: 413, kind: "too-large"},
+		{name: "slow, no route", path: "/other/", header: "Content-Length: 3", body: "a", status: 404, kind: "not-found"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			x, lines := newReceiver(newSite())
@@ -82,3 +86,24 @@
 		}
 	}
 }
+
+// TestBodyDeadlineEndsWithTheBody guards against a deadline of one request's body
+// that cuts the next request on the connection.
+func TestBodyDeadlineEndsWithTheBody(t *testing.T) {
+	x, _ := newReceiver(newSite())
+	conn, end := dial(t, x)
+	defer end()
+	answers := bufio.NewReader(conn)
+	for range 3 {
+		fmt.Fprint(conn, "POST /orders/1 HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nContent-Length: 1\r\n\r\na")
+		res, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, res.Body)
+		if got, want := res.StatusCode, 503; got != want {
+			t.Errorf("got status %d, want %d", got, want)
+		}
+		time.Sleep(2 * 200 * time.Millisecond)
+	}
+}
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -60,6 +60,7 @@
 	}
 	v := x.Observer.View()
 	request, err := x.Codec.Request(r)
+	bodyUntil(w, r, request.Received.Add(patience(request)))
 	if err != nil {
 		x.refuse(w, v, request, classifier.New(classifier.BadRequest, err.Error()))
 		return
@@ -68,7 +69,9 @@
 	if err == nil {
 		return
 	}
-	if errors.Is(r.Context().Err(), context.Canceled) {
+	// A body that meets its deadline ends the context too, with its caller there.
+	slow := classifier.Classify(err).Kind == classifier.TooSlow
+	if errors.Is(r.Context().Err(), context.Canceled) && !slow {
 		x.log(v, request, err).Info("caller went away")
 		panic(http.ErrAbortHandler)
 	}
@@ -109,6 +112,7 @@
 	if err != nil {
 		return false, err
 	}
+	bodyUntil(w, r, job.Deadline)
 	if request.Body, err = body(w, r, v.Site.Limits.BodyBytes); err != nil {
 		return false, err
 	}
@@ -150,14 +154,19 @@
 
 // deadline returns when the caller's patience or the route's ends.
 func deadline(r *courier.Request, route *cataloguer.Route) time.Time {
-	patience := r.Patience
-	if patience <= 0 {
-		patience = defaultPatience
-	}
+	wait := patience(r)
 	if route.Timeout > 0 {
-		patience = min(patience, route.Timeout)
+		wait = min(wait, route.Timeout)
+	}
+	return r.Received.Add(wait)
+}
+
+// patience returns how long the caller waits.
+func patience(r *courier.Request) time.Duration {
+	if r.Patience <= 0 {
+		return defaultPatience
 	}
-	return r.Received.Add(patience)
+	return r.Patience
 }
 
 const (
