Write a long body from where it is, not from a copy

Seen: TestEarlyAnswer failed once in a whole run beside load: "got \"\", context deadline exceeded", at its 500 ms. Callers with long bodies would see the endpoint get their request later, and instances held each such body twice.

Cause: send appended the whole body to the head's buffer before the first byte went out.

Change: head and body go out as net.Buffers. The test and its limit stay as they were.

--- a/router/exchanger/exchanger.go
+++ b/router/exchanger/exchanger.go
@@ -50,7 +50,8 @@
 	// URI is path and query as they go on the wire.
 	URI    string
 	Header http.Header
-	Body   []byte
+	// Body must not be changed any more: it may be written beyond the answer's end.
+	Body []byte
 	// Mine reports whether an answer with these headers is to this request.
 	Mine func(status int, h http.Header) bool
 	// Fresh wants a connection that was not used before.
@@ -214,17 +215,18 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(c.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(c.Body)
-	if b.Len() <= writeAtOnce {
+	if b.Len()+len(c.Body) <= writeAtOnce {
+		b.Write(c.Body)
 		_, err := a.conn.Write(b.Bytes())
 		a.written <- err
 		return err
 	}
 	// A long body may be answered before it is read: it is written beside the
-	// wait for the answer.
+	// wait for the answer, and from where it is.
+	parts := net.Buffers{b.Bytes(), c.Body}
 	var group sync.WaitGroup
 	group.Go(func() {
-		_, err := a.conn.Write(b.Bytes())
+		_, err := parts.WriteTo(a.conn.Conn)
 		a.written <- err
 	})
 	return nil
--- a/router/exchanger/exchanger_test.go
+++ b/router/exchanger/exchanger_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -319,3 +320,33 @@
 		t.Errorf("silent: got the error after %v, want it at the deadline", got)
 	}
 }
+
+// allocated returns how many bytes f allocates.
+func allocated(f func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+// TestLongBodyNotCopied guards against a second copy of each long body in memory.
+func TestLongBodyNotCopied(t *testing.T) {
+	e := newEndpoint(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+		for id := read(r); id != ""; id = read(r) {
+			io.WriteString(c, answer(id, "x"))
+		}
+	})
+	c := call(e, "a")
+	c.Method = http.MethodPost
+	c.Body = []byte(strings.Repeat("x", 8<<20))
+	x := newExchanger()
+	got := allocated(func() {
+		if _, err := get(t, x, c); err != nil {
+			t.Error(err)
+		}
+	})
+	if want := uint64(1 << 20); got > want {
+		t.Errorf("got %d bytes allocated to send a body of %d, want at most %d", got, len(c.Body), want)
+	}
+}
