Give up an answer whose head passes 64 KiB

Seen by callers: an instance whose endpoint writes bytes without end that are no answer runs out of memory and loses all its requests; that one request waits for its deadline.

Cause: http.ReadResponse reads status line and headers of any size.

Change: while a head is read the connection gives its reader 64 KiB at most; the buffered reader is the same, so that bytes beyond an answer are still seen. The exchange then ends as lost, with its connection, at once. TestLargeHead holds heads of 24 KB and bodies of 1 MB, with reuse.

--- a/router/exchanger/exchanger.go
+++ b/router/exchanger/exchanger.go
@@ -31,6 +31,8 @@
 const (
 	// readBuffer and writeBuffer are sizes in bytes.
 	readBuffer = 4096
+	// headLimit bounds the head of an answer, in bytes.
+	headLimit = 64 << 10
 	// alienLimit is how many answers to other requests are passed over.
 	alienLimit = 4
 	// idleMargin is kept from the time for which an endpoint keeps an unused
@@ -69,12 +71,42 @@
 	idle map[string][]*conn
 }
 
+// errTooLong says that a head, or what came before it, passed its bound.
+var errTooLong = errors.New("the answer's head is too long")
+
 // conn is one connection with its reader.
 type conn struct {
 	net.Conn
 	address string
 	reader  *bufio.Reader
 	until   time.Time
+	// bounded is set while left bounds the bytes that the reader may take in.
+	bounded bool
+	left    int
+}
+
+// bound lets the reader take n bytes in until it is bound anew or released.
+func (k *conn) bound(n int) {
+	k.bounded = true
+	k.left = n
+}
+
+// release ends the bound.
+func (k *conn) release() {
+	k.bounded = false
+}
+
+// Read reads from the connection within the bound.
+func (k *conn) Read(p []byte) (int, error) {
+	if !k.bounded {
+		return k.Conn.Read(p)
+	}
+	if k.left == 0 {
+		return 0, errTooLong
+	}
+	n, err := k.Conn.Read(p[:min(len(p), k.left)])
+	k.left -= n
+	return n, err
 }
 
 // Open sends c and returns the answer once its headers are here. The deadline
@@ -124,11 +156,12 @@
 	if x.Opened != nil {
 		x.Opened()
 	}
-	return &conn{
+	k := &conn{
 		Conn:    raw,
 		address: c.Address,
-		reader:  bufio.NewReaderSize(raw, readBuffer),
-	}, nil
+	}
+	k.reader = bufio.NewReaderSize(k, readBuffer)
+	return k, nil
 }
 
 // pop takes the connection that was used last.
@@ -239,7 +272,9 @@
 // an endpoint may have left on the connection, are passed over.
 func (a *Answer) receive(c Call) error {
 	for range alienLimit {
+		a.conn.bound(headLimit)
 		res, err := http.ReadResponse(a.conn.reader, &http.Request{Method: c.Method})
+		a.conn.release()
 		if err != nil {
 			return err
 		}
