Pass over at most 4 MiB of an answer to another request

Seen by callers: a request on a connection that an endpoint left a late answer without end on waits for its deadline, and the connection takes bytes in all the time.

Cause: the body of an answer to another request was read to its end, however long.

Evidence: TestEndlessAnswerToAnother, three kinds of body; before, each exchange ended at the deadline of 3 s.

Change: the bound that holds while a head is read also holds, with 4 MiB, while such a body is passed over; nothing of it is held. Then the exchange ends as lost, with its connection. After: all three end in time.

--- a/router/exchanger/endless_test.go
+++ b/router/exchanger/endless_test.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// TestEndlessAnswerToAnother guards against a late answer to another request
+// whose body has no end, and which would be passed over until the deadline.
+func TestEndlessAnswerToAnother(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: stray\r\n"
+	for name, test := range map[string]struct {
+		start string
+		piece string
+	}{
+		"length":     {start: head + "Content-Length: 9000000000000\r\n\r\n", piece: "x"},
+		"chunks":     {start: head + "Transfer-Encoding: chunked\r\n\r\n", piece: "4\r\nbody\r\n"},
+		"to the end": {start: head + "\r\n", piece: "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, closed := newEndless(t, test.start, test.piece)
+			requireLost(t, e, closed)
+		})
+	}
+}
+
 // TestLargeHead guards against a bound that cuts heads and answers of usual size.
 func TestLargeHead(t *testing.T) {
 	large := "Large: " + strings.Repeat("x", 24<<10) + "\r\n"
--- a/router/exchanger/exchanger.go
+++ b/router/exchanger/exchanger.go
@@ -33,8 +33,10 @@
 	readBuffer = 4096
 	// headLimit bounds the head of an answer, in bytes.
 	headLimit = 64 << 10
-	// alienLimit is how many answers to other requests are passed over.
+	// alienLimit is how many answers to other requests are passed over, and
+	// alienBytes bounds the body of each.
 	alienLimit = 4
+	alienBytes = 4 << 20
 	// idleMargin is kept from the time for which an endpoint keeps an unused
 	// connection, so that a request does not cross its close.
 	idleMargin = 2
@@ -71,8 +73,8 @@
 	idle map[string][]*conn
 }
 
-// errTooLong says that a head, or what came before it, passed its bound.
-var errTooLong = errors.New("the answer's head is too long")
+// errTooLong says that a head, or an answer to another request, passed its bound.
+var errTooLong = errors.New("the endpoint sends too much before the answer")
 
 // conn is one connection with its reader.
 type conn struct {
@@ -284,7 +286,7 @@
 		}
 		if !c.Mine(res.StatusCode, res.Header) {
 			a.alien = true
-			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			if err := a.skip(res.Body); err != nil {
 				return err
 			}
 			continue
@@ -298,6 +300,14 @@
 	return errors.New("the endpoint answers other requests only")
 }
 
+// skip passes over the body of an answer to another request.
+func (a *Answer) skip(body io.Reader) error {
+	a.conn.bound(alienBytes)
+	defer a.conn.release()
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
+
 // Read reads the body. It returns io.EOF only at the end of a whole body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
