Bound what plain answers hold together

Seen by callers: endpoints of plain services that send bodies without end at the same time fill the memory of an instance, which takes all its requests with it.

Cause: each answer was read whole up to 16 MiB, in a buffer that is copied as it grows, and nothing bounded all answers together.

--- /dev/null
+++ b/router/relayer/endless_test.go
@@ -0,0 +1,196 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/courier"
+	"heatherhold.dev/router/relayer"
+)
+
+const (
+	// endlessPatience is how long callers wait whose answers have no end, and
+	// endSoon how soon such an answer must be given up.
+	endlessPatience = 5 * time.Second
+	endSoon         = 1500 * time.Millisecond
+	// heldBytes is the bound on plain answers together, and heapLimit the one on
+	// the heap with what is not collected yet, in bytes.
+	heldBytes = 16 << 20
+	heapLimit = 4 * heldBytes
+)
+
+// endless returns an answer that begins with start and goes on with piece until
+// the connection is closed.
+func endless(start, piece string) func(int, io.Writer) {
+	many := []byte(strings.Repeat(piece, 16<<10/len(piece)+1))
+	return func(_ int, w io.Writer) {
+		io.WriteString(w, "HTTP/1.1 "+start)
+		for {
+			if _, err := w.Write(many); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// endlessAnswers are answers to the request whose bodies have no end.
+var endlessAnswers = map[string]func(int, io.Writer){
+	"length":     endless("200 OK\r\nId: r1\r\nContent-Length: 9000000000000\r\n\r\n", "x"),
+	"chunks":     endless("200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n"),
+	"to the end": endless("200 OK\r\nId: r1\r\n\r\n", "x"),
+	"failure":    endless("500 X\r\nId: r1\r\n\r\n", "x"),
+	"header":     endless("200 OK\r\nId: r1\r\nX: ", "x"),
+}
+
+// requireClosed requires that the endpoint's connection is closed soon.
+func requireClosed(t *testing.T, e *endpoint) {
+	t.Helper()
+	select {
+	case <-e.closed:
+	case <-time.After(endSoon):
+		t.Errorf("the connection to %s is still open %v after the answer", e.Endpoint.Endpoint, endSoon)
+	}
+}
+
+// TestEndlessPlain guards against answers without end that are waited for until
+// the deadline, or taken as a promise that nothing ran.
+func TestEndlessPlain(t *testing.T) {
+	for name, serve := range endlessAnswers {
+		t.Run("once, "+name, func(t *testing.T) {
+			e := newEndpoint(t, "a", serve)
+			b := newBed(cataloguer.AtMostOnce, false, e)
+			begun := time.Now()
+			_, started, err := b.serve(context.Background(), endlessPatience)
+			if started || kindOf(err) != classifier.OutcomeUnknown {
+				t.Errorf("got error %v, started %v, want kind %q", err, started, classifier.OutcomeUnknown)
+			}
+			if got := time.Since(begun); got > endSoon {
+				t.Errorf("got the end after %v, want it within %v", got, endSoon)
+			}
+			requireClosed(t, e)
+		})
+		t.Run("idempotent, "+name, func(t *testing.T) {
+			var calls atomic.Int64
+			// Whichever endpoint is picked first answers without end.
+			first := func(after int, w io.Writer) {
+				if calls.Add(1) == 1 {
+					serve(after, w)
+					return
+				}
+				reply(http.StatusOK, "", "good")(after, w)
+			}
+			b := newBed(cataloguer.Idempotent, false, newEndpoint(t, "a", first), newEndpoint(t, "b", first))
+			begun := time.Now()
+			w, _, err := b.serve(context.Background(), endlessPatience)
+			if err != nil || w.Body.String() != "good" {
+				t.Errorf("got %d bytes, %v, want the other endpoint's answer", w.Body.Len(), err)
+			}
+			if got := time.Since(begun); got > endSoon {
+				t.Errorf("got the answer after %v, want it within %v", got, endSoon)
+			}
+		})
+	}
+}
+
+// heapPeak runs f and returns how far the heap grew meanwhile, as sampled.
+func heapPeak(f func()) uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	start, peak := m.HeapAlloc, m.HeapAlloc
+	done := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			select {
+			case <-done:
+				return nil
+			case <-time.After(5 * time.Millisecond):
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			peak = max(peak, m.HeapAlloc)
+		}
+	})
+	f()
+	close(done)
+	group.Wait()
+	return peak - start
+}
+
+// TestManyEndlessPlain guards against many answers without end that together
+// fill the memory of an instance.
+func TestManyEndlessPlain(t *testing.T) {
+	// Each stops short of any bound on one answer and keeps its connection open.
+	big := []byte(strings.Repeat("x", 6<<20))
+	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9000000000000\r\n\r\n")
+		w.Write(big)
+	})
+	b := newBed(cataloguer.AtMostOnce, false, e)
+	b.relayer.HeldBytes = heldBytes
+	var once sync.Once
+	got := heapPeak(func() {
+		var group errgroup.Group
+		for range 60 {
+			group.Go(func() error {
+				if _, _, err := b.serve(context.Background(), 2*time.Second); err == nil {
+					once.Do(func() { t.Error("got an answer, want an error") })
+				}
+				return nil
+			})
+		}
+		group.Wait()
+	})
+	if got > heapLimit {
+		t.Errorf("got %d bytes more on the heap, want at most %d", got, heapLimit)
+	}
+}
+
+// TestLargeBesideEndless guards against answers without end that leave no room
+// for answers of some MiB.
+func TestLargeBesideEndless(t *testing.T) {
+	large := strings.Repeat("y", 3<<20)
+	good := newEndpoint(t, "a", reply(http.StatusOK, "Connection: close\r\n", large))
+	bad := newEndpoint(t, "b", endlessAnswers["length"])
+	b := newBed(cataloguer.AtMostOnce, false, good)
+	v := *b.relayer.Observer.View()
+	v.Fleet["bad"] = []cataloguer.Endpoint{bad.Endpoint}
+	v.Site.Services["bad"] = cataloguer.Service{Name: "bad"}
+	b.relayer.Observer.Publish(&v)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	for range 8 {
+		group.Go(func() error {
+			for ctx.Err() == nil {
+				b.relayer.Serve(ctx, httptest.NewRecorder(), relayer.Job{
+					Request:  &courier.Request{ID: "r1"},
+					Route:    &b.route,
+					Service:  "bad",
+					Deadline: time.Now().Add(endlessPatience),
+				})
+			}
+			return nil
+		})
+	}
+	for range 10 {
+		if w, _, err := b.serve(context.Background(), endlessPatience); err != nil || w.Body.String() != large {
+			t.Errorf("got %d bytes, %v, want %d", w.Body.Len(), err, len(large))
+		}
+	}
+	cancel()
+	group.Wait()
+}
--- a/router/relayer/plain.go
+++ b/router/relayer/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -34,10 +33,17 @@
 type whole struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *body
 	said   courier.Answer
 }
 
+// drop gives the answer's room back; a may be nil.
+func (a *whole) drop() {
+	if a != nil {
+		a.body.drop()
+	}
+}
+
 // errNotRun says that the endpoint refused and did not run the request.
 var errNotRun = errors.New("the endpoint did not run the request")
 
@@ -66,6 +72,7 @@
 			"retries":  p.relayer.budget(time.Now(), p.job.Service).Left(),
 		}).Warn("attempt failed")
 		if again {
+			a.drop()
 			continue
 		}
 		if a != nil && errors.Is(err, errFailed) {
@@ -144,13 +151,14 @@
 		p.ran = true
 		p.runs++
 	}
-	body, err := io.ReadAll(io.LimitReader(a, answerLimit+1))
-	if err != nil || len(body) > answerLimit {
+	body := &body{relayer: p.relayer}
+	if err := body.fill(a); err != nil {
 		a.Discard()
+		body.drop()
 		if said.NotRun {
 			return nil, errNotRun
 		}
-		return nil, errors.Wrap(exchanger.ErrLost, "the answer broke off or is too large")
+		return nil, errors.Wrap(exchanger.ErrLost, err.Error())
 	}
 	a.Close(said.Idle)
 	out := &whole{
@@ -161,6 +169,7 @@
 	}
 	switch {
 	case said.NotRun:
+		out.drop()
 		return nil, errors.Wrapf(errNotRun, "status %d", a.Status)
 	case a.Status >= http.StatusInternalServerError:
 		return out, errors.Wrapf(errFailed, "status %d", a.Status)
@@ -184,12 +193,13 @@
 // write gives the caller the endpoint's answer.
 func (p *plain) write(a *whole) error {
 	p.started = true
+	defer a.drop()
 	h := p.w.Header()
 	for name, values := range p.relayer.Codec.Returned(a.header) {
 		h[name] = values
 	}
-	h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+	h["Content-Length"] = []string{strconv.FormatInt(a.body.size, 10)}
 	p.w.WriteHeader(a.status)
-	_, err := p.w.Write(a.body)
+	_, err := a.body.WriteTo(p.w)
 	return errors.Wrap(err, "write the answer")
 }
--- a/router/relayer/relayer.go
+++ b/router/relayer/relayer.go
@@ -75,16 +75,18 @@
 	Reporter   *reporter.Reporter
 	DataCentre identifier.DataCentre
 	Retries    Retries
-	Log        logrus.FieldLogger
+	// HeldBytes bounds what is held of all plain answers together; 0 stands for
+	// a default.
+	HeldBytes int64
+	Log       logrus.FieldLogger
+
+	ration ration
 
 	mu      sync.Mutex
 	budgets map[identifier.Service]*budget
 	running map[*attempt]bool
 }
 
-// answerLimit bounds the answer of a plain service, in bytes.
-const answerLimit = 16 << 20
-
 // Serve answers w with the answer of an endpoint. After an error with started
 // set, a part of an answer is out and the connection must be broken off.
 func (x *Relayer) Serve(ctx context.Context, w http.ResponseWriter, j Job) (started bool, err error) {
--- a/router/site.go
+++ b/router/site.go
@@ -107,12 +107,18 @@
 			Burst:  s.Store.RetryBurst * retryShare,
 			Window: s.Store.RetryWindow.Std(),
 		},
-		Log: log,
+		HeldBytes: int64(heldPart * float64(s.Store.MemoryMB<<20)),
+		Log:       log,
 	}
 }
 
-// retryShare is the part of the retries allowed that the instances use.
-const retryShare = 0.6
+const (
+	// retryShare is the part of the retries allowed that the instances use.
+	retryShare = 0.6
+	// heldPart is the part of the instance's memory that plain answers may fill
+	// before they are passed on.
+	heldPart = 0.25
+)
 
 func newReceiver(o *observer.Observer, x *relayer.Relayer, p *reporter.Reporter, log logrus.FieldLogger) *receiver.Receiver {
 	return &receiver.Receiver{
