Don't wait for the rest of a plain service's refusal

Seen by callers: a call that an endpoint refuses as not run, with a body that does not end, is not sent to another endpoint before the deadline: 429 then, where another endpoint would have served it.

Cause: the body of a refusal was read whole, up to 16 MiB, only to keep the connection.

Evidence: TestEndlessRefusal failed before: with a body that goes silent, 429 after the whole 5 s; with one without end, 17,133,080 bytes taken in.

Change: what is left of a refusal is read for 64 KiB and 50 ms at most, and held nowhere; else the connection is closed. The head's promise stands, as before. After: both go on at another endpoint in time, with under 1 MiB allocated.

--- a/router/relayer/endless_test.go
+++ b/router/relayer/endless_test.go
@@ -105,6 +105,45 @@
 	}
 }
 
+// TestEndlessRefusal guards against a refusal whose body does not end that holds
+// the retry up.
+func TestEndlessRefusal(t *testing.T) {
+	head := "503 X\r\nId: r1\r\nNot-Run: 1\r\n"
+	for name, refuse := range map[string]func(int, io.Writer){
+		"endless": endless(head+"\r\n", "x"),
+		"silent":  func(_ int, w io.Writer) { io.WriteString(w, "HTTP/1.1 "+head+"Content-Length: 10\r\n\r\nx") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			first := func(after int, w io.Writer) {
+				if calls.Add(1) == 1 {
+					refuse(after, w)
+					return
+				}
+				reply(http.StatusOK, "", "good")(after, w)
+			}
+			b := newBed(cataloguer.AtMostOnce, false, newEndpoint(t, "a", first), newEndpoint(t, "b", first))
+			before, begun := totalAllocated(), time.Now()
+			w, _, err := b.serve(context.Background(), endlessPatience)
+			if err != nil || w.Body.String() != "good" {
+				t.Errorf("got %d bytes, %v, want the other endpoint's answer", w.Body.Len(), err)
+			}
+			if got := time.Since(begun); got > endSoon {
+				t.Errorf("got the answer after %v, want it within %v", got, endSoon)
+			}
+			if got, want := totalAllocated()-before, uint64(1<<20); got > want {
+				t.Errorf("got %d bytes allocated, want at most %d", got, want)
+			}
+		})
+	}
+}
+
+func totalAllocated() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.TotalAlloc
+}
+
 // heapPeak runs f and returns how far the heap grew meanwhile, as sampled.
 func heapPeak(f func()) uint64 {
 	var m runtime.MemStats
--- a/router/relayer/plain.go
+++ b/router/relayer/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -144,20 +145,40 @@
 	return p.read(a)
 }
 
+const (
+	// refusalLimit bounds the body of an answer that says that nothing ran, in bytes.
+	refusalLimit = 64 << 10
+	// refusalWait is how long the rest of such an answer is waited for.
+	refusalWait = 50 * time.Millisecond
+)
+
+// refused ends the exchange of an answer that says that nothing ran. Its body is
+// of use to nobody: it is read only to keep the connection.
+func refused(a *exchanger.Answer, idle time.Duration) error {
+	err := a.SetDeadline(time.Now().Add(refusalWait))
+	if err == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(a, refusalLimit))
+	}
+	if err != nil {
+		a.Discard()
+	} else {
+		a.Close(idle)
+	}
+	return errors.Wrapf(errNotRun, "status %d", a.Status)
+}
+
 // read takes the whole answer in.
 func (p *plain) read(a *exchanger.Answer) (*whole, error) {
 	said := p.relayer.Codec.Answer(p.job.Request, a.Status, a.Header)
-	if !said.NotRun {
-		p.ran = true
-		p.runs++
+	if said.NotRun {
+		return nil, refused(a, said.Idle)
 	}
+	p.ran = true
+	p.runs++
 	body := &body{relayer: p.relayer}
 	if err := body.fill(a); err != nil {
 		a.Discard()
 		body.drop()
-		if said.NotRun {
-			return nil, errNotRun
-		}
 		return nil, errors.Wrap(exchanger.ErrLost, err.Error())
 	}
 	a.Close(said.Idle)
@@ -167,11 +188,7 @@
 		body:   body,
 		said:   said,
 	}
-	switch {
-	case said.NotRun:
-		out.drop()
-		return nil, errors.Wrapf(errNotRun, "status %d", a.Status)
-	case a.Status >= http.StatusInternalServerError:
+	if a.Status >= http.StatusInternalServerError {
 		return out, errors.Wrapf(errFailed, "status %d", a.Status)
 	}
 	return out, nil
