Pass an answer that is no stream on once it is whole

Seen by callers of streams: where an endpoint answers with another status than 200 and a body without end, they get its bytes until their deadline; a resumable stream does not go on elsewhere, since the head is out.

Cause: such an answer's head was passed on at once and its body copied without a bound.

Change: such an answer is taken in within the same bounds as a plain service's and passed on whole; one that is not whole ends as lost and goes on as its kind allows. TestStreamRefusal holds what was right: status, headers and body of a whole one.

--- a/router/relayer/attempt.go
+++ b/router/relayer/attempt.go
@@ -101,7 +101,7 @@
 	return err
 }
 
-// judge reads the head of the answer.
+// judge reads the head of the answer, and passes that of a stream on.
 func (a *attempt) judge() error {
 	s := a.stream
 	said := s.relayer.Codec.Answer(s.job.Request, a.answer.Status, a.answer.Header)
@@ -123,7 +123,7 @@
 		a.answer.Discard()
 		return errors.Wrapf(errFailed, "status %d to a resumed stream", status)
 	}
-	if !s.started {
+	if !s.started && a.answer.Status == http.StatusOK {
 		s.begin(a.answer)
 	}
 	return nil
@@ -157,13 +157,20 @@
 	}
 }
 
-// copy passes an answer on that is no stream of events.
+// copy passes an answer on that is no stream of events, once it is whole.
 func (a *attempt) copy() error {
-	if _, err := io.Copy(a.stream.w, a.answer); err != nil {
+	b := &body{relayer: a.stream.relayer}
+	defer b.drop()
+	if err := b.fill(a.answer); err != nil {
 		a.answer.Discard()
-		return errors.Wrap(exchanger.ErrLost, err.Error())
+		return a.blame(errors.Wrap(exchanger.ErrLost, err.Error()), a.chain()[0].Life)
 	}
 	a.answer.Close(0)
+	a.stream.begin(a.answer)
+	_, err := b.WriteTo(a.stream.w)
+	if err != nil {
+		return errors.Wrap(errCaller, err.Error())
+	}
 	return nil
 }
 
--- a/router/relayer/endless_test.go
+++ b/router/relayer/endless_test.go
@@ -233,3 +233,50 @@
 	cancel()
 	group.Wait()
 }
+
+// TestEndlessStreamRefusal guards against an answer to a stream's request that is
+// no stream and has no end: its bytes would be passed on until the deadline.
+func TestEndlessStreamRefusal(t *testing.T) {
+	for name, serve := range map[string]func(int, io.Writer){
+		"length":     endless("404 X\r\nId: r1\r\nContent-Length: 9000000000000\r\n\r\n", "x"),
+		"chunks":     endless("404 X\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n"),
+		"to the end": endless("500 X\r\nId: r1\r\n\r\n", "x"),
+	} {
+		t.Run("once, "+name, func(t *testing.T) {
+			e := newEndpoint(t, "a", serve)
+			b := newBed(cataloguer.AtMostOnce, true, e)
+			begun := time.Now()
+			w, started, err := b.serve(context.Background(), endlessPatience)
+			if started || w.Body.Len() > 0 || kindOf(err) != classifier.OutcomeUnknown {
+				t.Errorf("got %d bytes, error %v, started %v, want kind %q", w.Body.Len(), err, started, classifier.OutcomeUnknown)
+			}
+			if got := time.Since(begun); got > endSoon {
+				t.Errorf("got the end after %v, want it within %v", got, endSoon)
+			}
+			requireClosed(t, e)
+		})
+		t.Run("resumable, "+name, func(t *testing.T) {
+			b := newBed(cataloguer.Resumable, true, newEndpoint(t, "a", serve), newEndpoint(t, "b", events(3, true)))
+			begun := time.Now()
+			w, _, err := b.serve(context.Background(), endlessPatience)
+			if got, want := ids(w.Body.String()), "1 2 3"; err != nil || got != want {
+				t.Errorf("got events %.20q in %d bytes, %v, want %q", got, w.Body.Len(), err, want)
+			}
+			if got := time.Since(begun); got > endSoon {
+				t.Errorf("got the answer after %v, want it within %v", got, endSoon)
+			}
+		})
+	}
+}
+
+// TestStreamRefusal guards against a whole answer that is no stream and does not
+// reach the caller as it is.
+func TestStreamRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError} {
+		b := newBed(cataloguer.AtMostOnce, true, newEndpoint(t, "a", reply(status, "", "why")))
+		w, _, err := b.serve(context.Background(), endlessPatience)
+		if err != nil || w.Code != status || w.Body.String() != "why" || w.Header().Get("Stamp") != "s" {
+			t.Errorf("got status %d, body %q, headers %v, %v, want the endpoint's answer with status %d", w.Code, w.Body, w.Header(), err, status)
+		}
+	}
+}
