Give up a stream that goes on with bytes that are no next event

Seen by callers: a stream whose endpoint goes on with noise, or the same events over and over, never ends before their deadline; noise reaches them (up to 15 MB in 5 s).

Cause: events without an id were passed on as they came, and events that the caller holds were passed over, both without a bound. The stream looked alive to all that watches for silence.

Change: events without an id are kept, 64 KiB at most, until the next event that has one, or the end; bytes that bring the stream no further are bounded by 1 MiB. Beyond that the attempt ends as lost, its endpoint is at fault, and the stream is resumed elsewhere or broken off, as its kind allows.

--- a/router/relayer/attempt.go
+++ b/router/relayer/attempt.go
@@ -28,6 +28,11 @@
 	// latest is when the last event came; nil before the first.
 	latest atomic.Pointer[time.Time]
 
+	// held is the events without an id since the last that has one.
+	held []byte
+	// stray counts the bytes that came since the caller's last event.
+	stray int
+
 	// moving is set while the stream is moved to another chain.
 	moving atomic.Bool
 	mu     sync.Mutex
@@ -129,6 +134,17 @@
 	return nil
 }
 
+const (
+	// strayLimit bounds the bytes of a stream that do not bring it further. A run
+	// that begins anew repeats less.
+	strayLimit = 1 << 20
+	// heldLimit bounds those of them that are held, in events without an id.
+	heldLimit = 64 << 10
+)
+
+// errStray says that a stream does not get further.
+var errStray = errors.New("the stream brings too much that is no next event")
+
 // pass passes the answer's events on, whole and in order.
 func (a *attempt) pass() error {
 	s := a.stream
@@ -143,20 +159,61 @@
 		a.latest.Store(&now)
 		if errors.Is(err, io.EOF) {
 			a.answer.Close(s.relayer.Codec.Answer(s.job.Request, a.answer.Status, a.answer.Header).Idle)
-			return nil
+			return s.write(out, a.held)
+		}
+		if err == nil {
+			err = a.admit(e)
 		}
 		if err != nil {
 			a.answer.Discard()
 			a.fault = a.chain()[0].Life
 			return errors.Wrap(exchanger.ErrLost, err.Error())
 		}
-		if err := s.take(out, e); err != nil {
+		if e.id == 0 {
+			continue
+		}
+		if err := a.take(out, e); err != nil {
 			a.answer.Discard()
 			return err
 		}
 	}
 }
 
+// admit counts what an event brings, and keeps one without an id until the next
+// that has one, or the end, shows that it is no noise.
+func (a *attempt) admit(e event) error {
+	a.stray += len(e.bytes)
+	if e.id == 0 {
+		a.held = append(a.held, e.bytes...)
+	}
+	if a.stray > strayLimit || len(a.held) > heldLimit {
+		return errStray
+	}
+	return nil
+}
+
+// take passes an event that has an id on, unless the caller holds it.
+func (a *attempt) take(out *http.ResponseController, e event) error {
+	s := a.stream
+	last := s.last.Load()
+	if e.id > last+1 {
+		return errors.Errorf("event %d follows event %d", e.id, last)
+	}
+	bytes := append(a.held, e.bytes...)
+	a.held = bytes[:0]
+	if e.id <= last {
+		return nil
+	}
+	if err := s.write(out, bytes); err != nil {
+		return err
+	}
+	a.stray = 0
+	s.last.Store(e.id)
+	s.passed++
+	s.timing.note(time.Now())
+	return nil
+}
+
 // copy passes an answer on that is no stream of events, once it is whole.
 func (a *attempt) copy() error {
 	b := &body{relayer: a.stream.relayer}
--- a/router/relayer/endless_test.go
+++ b/router/relayer/endless_test.go
@@ -280,3 +280,82 @@
 		}
 	}
 }
+
+// spoilt returns a stream of events up to last that goes on with piece without
+// end; pieces come in chunks of 1 KiB or more.
+func spoilt(last int, piece string) func(int, io.Writer) {
+	many := strings.Repeat(piece, 1<<10/len(piece)+1)
+	return func(after int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := after + 1; i <= last; i++ {
+			chunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
+		}
+		one := fmt.Appendf(nil, "%x\r\n%s\r\n", len(many), many)
+		for {
+			if _, err := w.Write(one); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// TestEndlessEvents guards against streams that go on with bytes without end that
+// bring the answer no further: callers get them until their deadline.
+func TestEndlessEvents(t *testing.T) {
+	for name, piece := range map[string]string{
+		"line":        "x",
+		"no id":       "data: x\n\n",
+		"comments":    ": x\n\n",
+		"blank lines": "\n",
+		"noise":       "\x00\x01\n\n",
+		"repeats":     "id: 1\ndata: 1\n\n",
+	} {
+		for _, last := range []int{0, 3} {
+			if last == 0 && name == "repeats" {
+				continue
+			}
+			want := "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"
+			t.Run(fmt.Sprintf("resumable, %s after %d", name, last), func(t *testing.T) {
+				e := newEndpoint(t, "a", spoilt(last, piece))
+				b := newBed(cataloguer.Resumable, true, e, newEndpoint(t, "b", events(4, true)))
+				begun := time.Now()
+				w, _, err := b.serve(context.Background(), endlessPatience)
+				if got := w.Body.String(); err != nil || got != want {
+					t.Errorf("got %.100q in %d bytes, %v, want %q", got, len(got), err, want)
+				}
+				if got := time.Since(begun); got > endSoon {
+					t.Errorf("got the answer after %v, want it within %v", got, endSoon)
+				}
+				requireClosed(t, e)
+			})
+			t.Run(fmt.Sprintf("once, %s after %d", name, last), func(t *testing.T) {
+				e := newEndpoint(t, "a", spoilt(last, piece))
+				b := newBed(cataloguer.AtMostOnce, true, e)
+				begun := time.Now()
+				w, started, err := b.serve(context.Background(), endlessPatience)
+				if got := w.Body.String(); !strings.HasPrefix(want, got) || !started || err == nil {
+					t.Errorf("got %.100q in %d bytes, started %v, %v, want events and an error", got, len(got), started, err)
+				}
+				if got := time.Since(begun); got > endSoon {
+					t.Errorf("got the end after %v, want it within %v", got, endSoon)
+				}
+				requireClosed(t, e)
+			})
+		}
+	}
+}
+
+// TestEventsWithoutID guards against events without an id that are lost from a
+// stream that is whole, or leave their place.
+func TestEventsWithoutID(t *testing.T) {
+	want := ": first\n\nid: 1\ndata: 1\n\n: more\n\ndata: x\n\nid: 2\ndata: 2\n\ndata: [DONE]\n\n"
+	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk(w, want)
+		fmt.Fprint(w, "0\r\n\r\n")
+	})
+	w, _, err := newBed(cataloguer.Resumable, true, e).serve(context.Background(), endlessPatience)
+	if got := w.Body.String(); err != nil || got != want {
+		t.Errorf("got %q, %v, want %q", got, err, want)
+	}
+}
--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -211,26 +211,16 @@
 	s.w.WriteHeader(a.Status)
 }
 
-// take passes one event on, unless the caller holds it.
-func (s *stream) take(out *http.ResponseController, e event) error {
-	if e.id != 0 {
-		if e.id <= s.last.Load() {
-			return nil
-		}
-		if e.id != s.last.Load()+1 {
-			return errors.Errorf("event %d follows event %d", e.id, s.last.Load())
-		}
+// write gives the caller whole events.
+func (s *stream) write(out *http.ResponseController, events []byte) error {
+	if len(events) == 0 {
+		return nil
 	}
-	if _, err := s.w.Write(e.bytes); err != nil {
+	if _, err := s.w.Write(events); err != nil {
 		return errors.Wrap(errCaller, err.Error())
 	}
 	if err := out.Flush(); err != nil {
 		return errors.Wrap(errCaller, err.Error())
 	}
-	if e.id != 0 {
-		s.last.Store(e.id)
-	}
-	s.passed++
-	s.timing.note(time.Now())
 	return nil
 }
