Bound one event of a stream to 64 KiB

Seen by callers: many endpoints that send a line without end at once fill the memory of an instance: up to 1 MiB, and its copies as it grew, for each stream.

Cause: the bound on one event was 1 MiB; real events are below some KB.

--- a/router/relayer/endless_test.go
+++ b/router/relayer/endless_test.go
@@ -359,3 +359,31 @@
 		t.Errorf("got %q, %v, want %q", got, err, want)
 	}
 }
+
+// TestManyEndlessEvents guards against many streams whose events have no end and
+// that together fill the memory of an instance.
+func TestManyEndlessEvents(t *testing.T) {
+	// Each sends what callers' events never reach and keeps its connection open.
+	long := []byte("f0000\r\nid: 1\ndata: " + strings.Repeat("x", 0xf0000-12) + "\r\n")
+	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		w.Write(long)
+	})
+	b := newBed(cataloguer.AtMostOnce, true, e)
+	var once sync.Once
+	got := heapPeak(func() {
+		var group errgroup.Group
+		for range 100 {
+			group.Go(func() error {
+				if _, _, err := b.serve(context.Background(), 2*time.Second); err == nil {
+					once.Do(func() { t.Error("got an answer, want an error") })
+				}
+				return nil
+			})
+		}
+		group.Wait()
+	})
+	if got > heapLimit {
+		t.Errorf("got %d bytes more on the heap, want at most %d", got, heapLimit)
+	}
+}
--- a/router/relayer/events.go
+++ b/router/relayer/events.go
@@ -10,7 +10,7 @@
 )
 
 // eventLimit bounds one event of a stream, in bytes.
-const eventLimit = 1 << 20
+const eventLimit = 64 << 10
 
 // errCut says that a stream ended in the middle of an event.
 var errCut = errors.New("the stream ended in the middle of an event")
