Don't repeat at length in logs what an endpoint sent

Seen by operators: an endpoint that sends noise fills the log with it, up to the bound on a head or an event a line.

Cause: the errors of net/http and strconv quote what they could not read.

Evidence: TestNoiseNotTold: errors of 30,766 to 30,785 bytes for 30 KiB of noise in four places of a head before; TestNoiseNotLogged: 30 KiB of noise as an event's id were logged before, where the test allows 2,048 bytes. Now the exchanger tells 200 bytes of such an error, and the relayer none of the id.

--- a/router/exchanger/endless_test.go
+++ b/router/exchanger/endless_test.go
@@ -126,3 +126,29 @@
 		t.Errorf("got %d connections, want 1", got)
 	}
 }
+
+// TestNoiseNotTold guards against errors, and so logs, that repeat what an endpoint
+// sent at length.
+func TestNoiseNotTold(t *testing.T) {
+	long := strings.Repeat("x", 30<<10)
+	for name, bytes := range map[string]string{
+		"protocol": long + " 200 OK\r\n\r\n",
+		"status":   "HTTP/1.1 " + long + "\r\n\r\n",
+		"header":   "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"length":   "HTTP/1.1 200 OK\r\nContent-Length: " + long + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+				read(r)
+				io.WriteString(c, bytes)
+			})
+			_, err := get(t, newExchanger(), call(e, "a"))
+			if !errors.Is(err, exchanger.ErrLost) {
+				t.Fatalf("got error %v, want %v", err, exchanger.ErrLost)
+			}
+			if got := err.Error(); len(got) > 512 {
+				t.Errorf("got an error of %d bytes, %.60q, want at most 512", len(got), got)
+			}
+		})
+	}
+}
--- a/router/exchanger/exchanger.go
+++ b/router/exchanger/exchanger.go
@@ -37,6 +37,8 @@
 	// alienBytes bounds the body of each.
 	alienLimit = 4
 	alienBytes = 4 << 20
+	// detailLimit bounds what an error says, in bytes: it may quote the endpoint.
+	detailLimit = 200
 	// idleMargin is kept from the time for which an endpoint keeps an unused
 	// connection, so that a request does not cross its close.
 	idleMargin = 2
@@ -133,11 +135,17 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, errors.Wrap(ErrLost, err.Error())
+		return nil, errors.Wrap(ErrLost, short(err))
 	}
 	return a, nil
 }
 
+// short returns what err says, without most of what the endpoint sent.
+func short(err error) string {
+	text := err.Error()
+	return text[:min(len(text), detailLimit)]
+}
+
 // take returns a kept connection that is still open, or a new one.
 func (x *Exchanger) take(ctx context.Context, c Call) (*conn, error) {
 	for !c.Fresh {
--- a/router/relayer/endless_test.go
+++ b/router/relayer/endless_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/core/cataloguer"
@@ -387,3 +389,22 @@
 		t.Errorf("got %d bytes more on the heap, want at most %d", got, heapLimit)
 	}
 }
+
+// TestNoiseNotLogged guards against logs that repeat what an endpoint sent at length.
+func TestNoiseNotLogged(t *testing.T) {
+	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk(w, "id: "+strings.Repeat("x", 30<<10)+"\n\n")
+	})
+	b := newBed(cataloguer.AtMostOnce, true, e)
+	var logged bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&logged)
+	b.relayer.Log = log
+	if _, _, err := b.serve(context.Background(), endlessPatience); err == nil {
+		t.Error("got no error, want one")
+	}
+	if got, want := logged.Len(), 2048; got > want {
+		t.Errorf("got %d bytes of log, want at most %d", got, want)
+	}
+}
--- a/router/relayer/events.go
+++ b/router/relayer/events.go
@@ -53,7 +53,7 @@
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			e.id, err = strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
 			if err != nil {
-				return e, errors.Wrap(err, "event id")
+				return e, errors.New("an event's id is no whole number")
 			}
 		}
 	}
