Bound the heads of engines, plain services and the table service

Seen by operators of the project's own interface: a head without end is read up to 10 MB, and costs seven times that.

Cause: net/http's own bound on heads.

--- a/router/driver/client.go
+++ b/router/driver/client.go
@@ -20,6 +20,7 @@
 
 const (
 	dialTimeout  = 500 * time.Millisecond
+	headLimit    = 64 << 10  // bytes
 	frameLimit   = 256 << 10 // bytes
 	bodyLimit    = 1 << 20   // bytes
 	idlePerHost  = 256
@@ -42,9 +43,10 @@
 		return h
 	}
 	h = &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: idlePerHost,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    idlePerHost,
+		MaxResponseHeaderBytes: headLimit,
+		DisableCompression:     true,
 	}}
 	if c.clients == nil {
 		c.clients = make(map[string]*http.Client)
--- /dev/null
+++ b/router/endless_test.go
@@ -0,0 +1,92 @@
+package main_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/driver"
+	"heatherhold.dev/router/forwarder"
+	"heatherhold.dev/router/keeper"
+	"heatherhold.dev/router/observer"
+	"heatherhold.dev/router/streamer"
+)
+
+// newEndless starts a server that answers with start and then with piece over and
+// over until the connection is closed.
+func newEndless(t *testing.T, start, piece string) string {
+	t.Helper()
+	many := []byte(strings.Repeat(piece, 16<<10/len(piece)+1))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		io.WriteString(conn, start)
+		for err == nil {
+			_, err = conn.Write(many)
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+// TestEndlessHead guards against heads without end that are read up to 10 MB.
+func TestEndlessHead(t *testing.T) {
+	for name, call := range map[string]func(ctx context.Context, url string) error{
+		"engine": func(ctx context.Context, url string) error {
+			_, err := (&driver.Client{}).State(ctx, strings.TrimPrefix(url, "http://"))
+			return err
+		},
+		"table": func(ctx context.Context, url string) error {
+			c := &keeper.Client{
+				URL:     url,
+				Timeout: 3 * time.Second,
+			}
+			_, err := c.Row(ctx, "k")
+			return err
+		},
+		"plain service": func(ctx context.Context, url string) error {
+			o := observer.New()
+			o.Publish(&observer.View{Endpoints: map[identifier.Service][]observer.Endpoint{
+				"s": {{Address: strings.TrimPrefix(url, "http://")}},
+			}})
+			f := &forwarder.Forwarder{
+				Observer: o,
+				Budget:   &streamer.Budget{},
+			}
+			_, err := f.Forward(ctx, forwarder.Call{
+				Service:    "s",
+				Method:     http.MethodGet,
+				Path:       "/",
+				Header:     http.Header{},
+				Progress:   3 * time.Second,
+				Repeatable: true,
+			})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			url := newEndless(t, "HTTP/1.1 200 OK\r\nX: ", "x")
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			err := call(context.Background(), url)
+			runtime.ReadMemStats(&after)
+			if err == nil {
+				t.Error("got no error, want one")
+			}
+			if got, want := after.TotalAlloc-before.TotalAlloc, uint64(1<<20); got > want {
+				t.Errorf("got %d bytes allocated, want at most %d", got, want)
+			}
+		})
+	}
+}
--- a/router/forwarder/forwarder.go
+++ b/router/forwarder/forwarder.go
@@ -26,6 +26,8 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
+	// headLimit bounds the head of a plain service's answer, in bytes.
+	headLimit = 64 << 10
 	// answerLimit bounds a plain service's answer, in bytes.
 	answerLimit = 4 << 20
 	// keptLimit bounds an answer that is kept under a claim, in bytes.
@@ -71,12 +73,14 @@
 	f.once.Do(func() {
 		dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 		f.reuse.Transport = &http.Transport{
-			DialContext:         dial,
-			MaxIdleConnsPerHost: idlePerHost,
+			DialContext:            dial,
+			MaxIdleConnsPerHost:    idlePerHost,
+			MaxResponseHeaderBytes: headLimit,
 		}
 		f.fresh.Transport = &http.Transport{
-			DialContext:       dial,
-			DisableKeepAlives: true,
+			DialContext:            dial,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: headLimit,
 		}
 		f.reuse.CheckRedirect = noRedirect
 		f.fresh.CheckRedirect = noRedirect
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -48,7 +48,10 @@
 	Withdraw(ctx context.Context, name string) error
 }
 
-const maxBody = 64 << 20 // bytes
+const (
+	maxHead = 64 << 10 // bytes
+	maxBody = 64 << 20 // bytes
+)
 
 // Client is the Platform over HTTP. A request that gets no answer within
 // Timeout is given up and its connection closed.
@@ -153,7 +156,12 @@
 }
 
 func (c *Client) send(req *http.Request) ([]byte, int, error) {
-	c.once.Do(func() { c.client.Transport = &http.Transport{MaxIdleConnsPerHost: 16} })
+	c.once.Do(func() {
+		c.client.Transport = &http.Transport{
+			MaxIdleConnsPerHost:    16,
+			MaxResponseHeaderBytes: maxHead,
+		}
+	})
 	res, err := c.client.Do(req)
 	if err != nil {
 		return nil, 0, err
