Take an answer of the table service beyond its bound as none

Seen by operators of the project's own interface: an answer that has no end passes as whole after 64 MiB, as an object say.

Cause: the body was cut at the bound without a word.

Evidence: TestEndlessObject: 67,108,864 bytes and no error before; now ErrDown, as after any answer that can't be used.

--- a/router/endless_test.go
+++ b/router/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -90,3 +91,15 @@
 		})
 	}
 }
+
+// TestEndlessObject guards against an answer of the table service that is cut and
+// passes as a whole one.
+func TestEndlessObject(t *testing.T) {
+	c := &keeper.Client{
+		URL:     newEndless(t, "HTTP/1.1 200 OK\r\n\r\n", "x"),
+		Timeout: 10 * time.Second,
+	}
+	if data, err := c.Object(context.Background(), "o"); !errors.Is(err, keeper.ErrDown) {
+		t.Errorf("got %d bytes, error %v, want %v", len(data), err, keeper.ErrDown)
+	}
+}
--- a/router/keeper/keeper.go
+++ b/router/keeper/keeper.go
@@ -167,6 +167,9 @@
 		return nil, 0, err
 	}
 	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxBody))
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxBody+1))
+	if err == nil && len(data) > maxBody {
+		err = errors.New("the answer is too large")
+	}
 	return data, res.StatusCode, err
 }
