Close unused connections that have something to read

Seen by operators: an endpoint that sends bytes without end after a whole answer keeps its unused connection, with what the kernel holds of them, for half of the time that it keeps connections itself.

Cause: unused connections were looked at only when their time had passed or a request wanted them.

--- a/router/exchanger/endless_test.go
+++ b/router/exchanger/endless_test.go
@@ -152,3 +152,31 @@
 		})
 	}
 }
+
+// TestEndlessAfterAnswer guards against unused connections that take in bytes
+// without end until their time has passed.
+func TestEndlessAfterAnswer(t *testing.T) {
+	closed := make(chan struct{})
+	e := newEndpoint(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+		io.WriteString(c, answer(read(r), "x"))
+		time.Sleep(50 * time.Millisecond)
+		more := []byte(strings.Repeat("x", 16<<10))
+		for {
+			if _, err := c.Write(more); err != nil {
+				close(closed)
+				return
+			}
+		}
+	})
+	x := newExchanger()
+	if got, err := get(t, x, call(e, "a")); err != nil || got != "x" {
+		t.Fatalf("got %q, %v, want %q", got, err, "x")
+	}
+	time.Sleep(200 * time.Millisecond)
+	x.Sweep(time.Now())
+	select {
+	case <-closed:
+	case <-time.After(endSoon):
+		t.Errorf("the connection is still open %v after it was looked at", endSoon)
+	}
+}
--- a/router/exchanger/exchanger.go
+++ b/router/exchanger/exchanger.go
@@ -212,14 +212,15 @@
 	}
 }
 
-// Sweep closes the unused connections whose time has passed.
+// Sweep closes the unused connections whose time has passed, or that are closed
+// or have something to read.
 func (x *Exchanger) Sweep(now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for address, kept := range x.idle {
 		var rest []*conn
 		for _, k := range kept {
-			if now.Before(k.until) {
+			if now.Before(k.until) && quiet(k.Conn) {
 				rest = append(rest, k)
 				continue
 			}
