--- a/router/relayer/endless_test.go
+++ b/router/relayer/endless_test.go
@@ -52,6 +52,8 @@
 var endlessAnswers = map[string]func(int, io.Writer){
 	"length":     endless("200 OK\r\nId: r1\r\nContent-Length: 9000000000000\r\n\r\n", "x"),
 	"chunks":     endless("200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n"),
+	"extension":  endless("200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"),
+	"trailer":    endless("200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "X: a\r\n"),
 	"to the end": endless("200 OK\r\nId: r1\r\n\r\n", "x"),
 	"failure":    endless("500 X\r\nId: r1\r\n\r\n", "x"),
 	"header":     endless("200 OK\r\nId: r1\r\nX: ", "x"),
