--- a/router/exchanger/endless_test.go
+++ b/router/exchanger/endless_test.go
@@ -98,7 +98,7 @@
 		piece string
 	}{
 		"length":     {start: head + "Content-Length: 9000000000000\r\n\r\n", piece: "x"},
-		"chunks":     {start: head + "Transfer-Encoding: chunked\r\n\r\n", piece: "4\r\nbody\r\n"},
+		"chunks":     {start: head + "Transfer-Encoding: chunked\r\n\r\n", piece: "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"},
 		"to the end": {start: head + "\r\n", piece: "x"},
 	} {
 		t.Run(name, func(t *testing.T) {
