Tell an entry again of a ticket whose grant was lost

What callers saw: a request that waits until its deadline and is then refused or timed out, although a chain was reserved for it all the while.

Cause: owner and entry know different things of one request. The owner has granted it, and the conversation broke before the entry heard of it. The entry asks again in its next conversation; the owner knows the request as running and says nothing. The ticket was besides given up one lease later, as if its entry had not come back.

Evidence: read in the code, not seen in a log: no line tells of a grant that was lost.

Why it works: an ask for a request that holds a chain is answered with that chain. An entry that has the ticket already takes no second one, since it does not wait any more.

--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -192,6 +192,7 @@
 	for _, a := range m.GetAsks() {
 		ask := askOf(a)
 		p.askers[ask.Request] = t
+		delete(p.orphans, ask.Request)
 		p.scheduler.Ask(now, ask)
 	}
 	g.decide(now, p)
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -154,9 +154,14 @@
 	p.sortClasses()
 }
 
-// Ask queues a request or refuses it at once.
+// Ask queues a request or refuses it at once. One that holds a chain is told of it
+// again: the entry that asks has not heard of it.
 func (p *Pool) Ask(now time.Time, a Ask) {
 	p.prepare()
+	if f, ok := p.flights[a.Request]; ok {
+		p.grant(a.Request, f.chain)
+		return
+	}
 	if p.known(a.Request) {
 		return
 	}
@@ -296,16 +301,20 @@
 		c.remove(e)
 		delete(p.waiting, e.ask.Request)
 		p.start(now, c, e, chain)
-		p.decided = append(p.decided, Decision{
-			Verdict: Granted,
-			Request: e.ask.Request,
-			Chain:   chain,
-		})
+		p.grant(e.ask.Request, chain)
 		return true
 	}
 	return false
 }
 
+func (p *Pool) grant(r identifier.Request, chain []identifier.Stage) {
+	p.decided = append(p.decided, Decision{
+		Verdict: Granted,
+		Request: r,
+		Chain:   chain,
+	})
+}
+
 // patientPart is the part of its longest wait for which a request of the most
 // urgent work waits for a chain that meets its target, where a slow one is free.
 const patientPart = 0.5
