Let no owner say that the caller of an admitted request is at fault

A kind that the entry does not know became 500.

Evidence: TestOwnersWordTakenForCallersFault, an owner that refuses as the build before the fix does: bad-request, not-found, unauthenticated and an unknown kind reached the caller.

Why it works: a refusal is about room (overloaded) or about chains (anything else, 503 and not run); nothing that an owner writes answers 4xx but 429. The log keeps its word.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -229,13 +229,23 @@
 	}
 	delete(p.waiting, request)
 	w.answer <- answer{err: &classifier.Error{
-		Kind:       classifier.Kind(r.GetKind()),
+		Kind:       kindOf(r),
 		Detail:     r.GetDetail(),
 		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
-		Wrapped:    errors.Errorf("decided by %s at revision %d", p.owner, r.GetRevision()),
+		Wrapped:    errors.Errorf("decided by %s at revision %d as %s", p.owner, r.GetRevision(), r.GetKind()),
 	}}
 }
 
+// kindOf returns the kind of a refusal. The entry has admitted the request, so an
+// owner may say that there is no room for it, but not that its caller is at fault:
+// an owner of another build may judge by a configuration that lacks something.
+func kindOf(r *messenger.Refusal) classifier.Kind {
+	if k := classifier.Kind(r.GetKind()); k == classifier.Overloaded {
+		return k
+	}
+	return classifier.NoChain
+}
+
 // resume fills the first message to a new owner: all that is wanted and held.
 func (p *pool) resume(owner identifier.Instance, m *messenger.ToOwner) {
 	// What is queued for the old owner is contained in the state below, but
--- /dev/null
+++ b/router/acquirer/acquirer_test.go
@@ -0,0 +1,127 @@
+package acquirer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/acquirer"
+	"heatherhold.dev/router/dialer"
+	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/looper"
+	"heatherhold.dev/router/observer"
+)
+
+// refuser is an owner that refuses every ask.
+type refuser struct {
+	messenger.DRPCPeerUnimplementedServer
+	kind string
+}
+
+// Tickets refuses what is asked for.
+func (r *refuser) Tickets(s messenger.DRPCPeer_TicketsStream) error {
+	for {
+		m, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		out := &messenger.FromOwner{}
+		for _, a := range m.GetAsks() {
+			out.Refusals = append(out.Refusals, &messenger.Refusal{
+				Request: a.GetRequest(),
+				Kind:    r.kind,
+				Detail:  "there is no rank urgent",
+			})
+		}
+		if err := s.Send(out); err != nil {
+			return err
+		}
+	}
+}
+
+// serve runs an owner until the test ends and returns its address.
+func serve(t *testing.T, r *refuser) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := messenger.DRPCRegisterPeer(mux, r); err != nil {
+		t.Fatal(err)
+	}
+	run(t, func(ctx context.Context) error { return drpcserver.New(mux).Serve(ctx, l) })
+	return l.Addr().String()
+}
+
+// run runs f until the test ends.
+func run(t *testing.T, f func(context.Context) error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return f(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+}
+
+// entry returns an acquirer whose pools are owned at an address.
+func entry(t *testing.T, address string) *acquirer.Acquirer {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	loop := looper.New()
+	a := acquirer.New()
+	a.Self = "entry"
+	a.Observer = observer.New()
+	a.Observer.Publish(&observer.View{
+		Live:  []identifier.Instance{"owner"},
+		Peers: map[identifier.Instance]string{"owner": address},
+	})
+	a.Dialer = &dialer.Dialer{}
+	a.Granter = granter.New(loop)
+	a.Granter.Observer = a.Observer
+	a.Log = log
+	a.Silence = time.Second
+	run(t, loop.Run)
+	run(t, a.Run)
+	return a
+}
+
+// TestOwnersWordTakenForCallersFault guards against an answer that blames the
+// caller of an admitted request, since another instance's build or configuration
+// lacks something.
+func TestOwnersWordTakenForCallersFault(t *testing.T) {
+	for kind, want := range map[classifier.Kind]classifier.Kind{
+		classifier.BadRequest:      classifier.NoChain,
+		classifier.NotFound:        classifier.NoChain,
+		classifier.Unauthenticated: classifier.NoChain,
+		"of-a-later-build":         classifier.NoChain,
+		classifier.Overloaded:      classifier.Overloaded,
+		classifier.NoChain:         classifier.NoChain,
+	} {
+		t.Run(string(kind), func(t *testing.T) {
+			a := entry(t, serve(t, &refuser{kind: string(kind)}))
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := a.Acquire(ctx, "drafts", &messenger.Ask{
+				Request: "r1.1",
+				Rank:    "urgent",
+			})
+			if got := classifier.Classify(err).Kind; got != want {
+				t.Errorf("kind: got %s (%v), want %s", got, err, want)
+			}
+		})
+	}
+}
