Drop an endpoint from the list whose address a later one has

What callers saw: streams that are sent to an endpoint which is gone, and a retry for each; and a 400 if a chain leads through both, since an endpoint refuses a chain that names its address twice. No log shows the 400: it would be in none, as answers that are passed on are logged as served.

Cause: an endpoint that starts again at its address under a new name is listed beside its old entry, which stays until it lapses, longer around an outage of the platform. The two moments of one address passed as two endpoints.

Why it works: two live processes can't serve at one address, so the one that started first is gone. Entries of other services and entries without an address don't count, so an entry that names nothing to use can't push an endpoint out.

--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -197,10 +197,14 @@
 }
 
 // fleetByService returns the list by service, in order. An endpoint that a peer
-// knows to leave counts as leaving.
+// knows to leave counts as leaving, and one whose address a later one has as gone.
 func (c *Controller) fleetByService() map[identifier.Service][]cataloguer.Endpoint {
 	out := make(map[identifier.Service][]cataloguer.Endpoint)
+	latest := c.fleet.latest()
 	for _, e := range c.fleet.endpoints {
+		if e.Incarnation < latest[placeOf(e)] {
+			continue
+		}
 		e.Leaving = e.Leaving || c.state.Marked(e.Life)
 		out[e.Service] = append(out[e.Service], e)
 	}
@@ -212,6 +216,30 @@
 	return out
 }
 
+// place is where an endpoint serves.
+type place struct {
+	service identifier.Service
+	address string
+}
+
+func placeOf(e cataloguer.Endpoint) place {
+	return place{
+		service: e.Service,
+		address: e.Address,
+	}
+}
+
+// latest returns, for each place, the start of the endpoint that came last.
+func (f *fleet) latest() map[place]identifier.Incarnation {
+	out := make(map[place]identifier.Incarnation)
+	for _, e := range f.endpoints {
+		if e.Address != "" {
+			out[placeOf(e)] = max(out[placeOf(e)], e.Incarnation)
+		}
+	}
+	return out
+}
+
 // readRegistry enters the instance, if it is missing, and reads who else is there.
 func (c *Controller) readRegistry(ctx context.Context) {
 	listed, err := c.Source.Registry.List(ctx)
