--- a/router/scheduler/scheduler_test.go
+++ b/router/scheduler/scheduler_test.go
@@ -219,6 +219,12 @@
 				Prefix:       1 << 60,
 				DataCentre:   "torrelavega",
 				Version:      "v1",
+				Terms: &messenger.Terms{
+					Order:           1,
+					BetweenTokensMs: 250,
+					QueueLimit:      400,
+					MaxWaitMs:       1000,
+				},
 			}}})
 			b.ReportMetric(float64(size), "ask-bytes")
 		})
