Pass no answer on that bears no endpoint's signature

What callers saw: whatever whole answer came from where a request was sent, also a 400 of one that did not accept the chain, 404, or a success. Callers don't repeat after 400 and 404, and such an answer, which no endpoint signed, passes as the router's own.

Cause: the signature was read into courier.Answer.Stamped and looked at nowhere. A chain is made by the owner's list and sent by the entry's; where the two, or the list and what is there, differ, the refusal of the chain was given to the caller as the answer.

Evidence: read in the code. Logs can neither show nor exclude it: a stream that ends in a 400 is logged as served, without its status.

Why it works: an unsigned answer below 500 counts as an attempt that may have run. It is repeated where that is allowed, and otherwise ends as outcome-unknown.

The stand-ins of sound endpoints in TestPlain, TestSpoiledRuns, TestCallerGone, TestDeadStage and TestSlowStage sign their answers now, as endpoints do; what they require is unchanged.

--- a/router/relayer/attempt.go
+++ b/router/relayer/attempt.go
@@ -118,6 +118,11 @@
 	}
 	s.ran = true
 	s.runs++
+	if alien(a.answer.Status, said) {
+		status := a.answer.Status
+		a.answer.Discard()
+		return a.blame(errors.Wrapf(errAlien, "status %d", status), a.chain()[0].Life)
+	}
 	if a.answer.Status >= http.StatusInternalServerError && (s.started || (s.job.Route.Repetition.Repeatable() && s.runs < s.job.Route.Attempts)) {
 		status := a.answer.Status
 		a.answer.Discard()
--- a/router/relayer/bed_test.go
+++ b/router/relayer/bed_test.go
@@ -48,6 +48,7 @@
 	return courier.Answer{
 		Mine:    h.Get("Id") == "r1",
 		NotRun:  h.Get("Not-Run") != "",
+		Stamped: h.Get("Stamp") != "",
 		AtFault: h.Get("At-Fault"),
 	}
 }
--- a/router/relayer/plain.go
+++ b/router/relayer/plain.go
@@ -51,6 +51,15 @@
 // errFailed says that the endpoint ran the request and failed.
 var errFailed = errors.New("the endpoint failed")
 
+// errAlien says that an answer bears no endpoint's signature.
+var errAlien = errors.New("the answer bears no signature")
+
+// alien reports whether an answer is no endpoint's word on the request, though it
+// may look like one: a success, or a fault of the caller.
+func alien(status int, said courier.Answer) bool {
+	return !said.Stamped && status < http.StatusInternalServerError
+}
+
 func (p *plain) run(ctx context.Context) error {
 	for {
 		e, ok := p.pick()
@@ -175,6 +184,10 @@
 	}
 	p.ran = true
 	p.runs++
+	if alien(a.Status, said) {
+		a.Discard()
+		return nil, errors.Wrapf(errAlien, "status %d", a.Status)
+	}
 	body := &body{relayer: p.relayer}
 	if err := body.fill(a); err != nil {
 		a.Discard()
--- a/router/relayer/relayer_test.go
+++ b/router/relayer/relayer_test.go
@@ -75,7 +75,7 @@
 
 // cut breaks off in the middle of an answer.
 func cut(_ int, w io.Writer) {
-	fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 100\r\n\r\nhalf")
+	fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 100\r\n\r\nhalf")
 	w.(net.Conn).Close()
 }
 
@@ -179,7 +179,7 @@
 func TestSpoiledRuns(t *testing.T) {
 	spoil := func(list ...int) func(int, io.Writer) {
 		return func(_ int, w io.Writer) {
-			fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+			fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 			for _, i := range list {
 				chunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
 			}
@@ -210,7 +210,7 @@
 // TestCallerGone requires that the endpoint's work ends with the caller.
 func TestCallerGone(t *testing.T) {
 	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
-		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 		chunk(w, "id: 1\ndata: 1\n\n")
 	})
 	b := newBed(cataloguer.Resumable, true, e)
@@ -246,7 +246,7 @@
 func TestDeadStage(t *testing.T) {
 	moved := make(chan struct{})
 	first := newEndpoint(t, "a", func(_ int, w io.Writer) {
-		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 		chunk(w, "id: 1\ndata: 1\n\n")
 		<-moved
 		chunk(w, "id: 2\ndata: 2\n\n")
@@ -342,7 +342,7 @@
 	moved := make(chan struct{})
 	var once sync.Once
 	first := newEndpoint(t, "a", func(_ int, w io.Writer) {
-		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for i := 1; i <= 20; i++ {
 			chunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
 			select {
