Bound the terms that an ask bears for its rank

What callers saw: 429 although endpoints are free, at an owner that does not know the rank, if the terms are wrong or do not fit the message: a queue limit or a wait below 0, a wait that overflows, or a declared queue limit beyond 32 bits, which came out as -1. The first ask of a rank sets it up for all entries, so one such ask refused all.

Cause: the owner took the terms as they came.

Evidence: TestTermsOutOfBoundsRefuse, four cases, all refused before as overloaded.

Why it works: what is told is kept within the message's bounds.

--- /dev/null
+++ b/router/granter/terms_test.go
@@ -0,0 +1,60 @@
+package granter_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"heatherhold.dev/core/declarer"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/granter"
+)
+
+// TestTermsOutOfBoundsRefuse guards against a free endpoint that is refused to a
+// request, since the terms of its rank are wrong or too large for the message.
+func TestTermsOutOfBoundsRefuse(t *testing.T) {
+	for name, terms := range map[string]*messenger.Terms{
+		"negative queue": {
+			BetweenTokensMs: 100,
+			QueueLimit:      -1,
+			MaxWaitMs:       1000,
+		},
+		"negative wait": {
+			BetweenTokensMs: 100,
+			QueueLimit:      10,
+			MaxWaitMs:       -1,
+		},
+		"endless wait": {
+			BetweenTokensMs: 100,
+			QueueLimit:      10,
+			MaxWaitMs:       math.MaxInt64 / 2,
+		},
+		"large queue": granter.TermsOf(&declarer.Rank{
+			BetweenTokens: identifier.DurationOf(100 * time.Millisecond),
+			QueueLimit:    math.MaxUint32,
+			MaxWait:       identifier.DurationOf(time.Second),
+		}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(t)
+			o.configure(6, "batch")
+			talk, err := o.granter.Open(t.Context(), granter.Key{Service: service})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(talk.Close)
+			talk.Send(&messenger.ToOwner{Asks: []*messenger.Ask{{
+				Request:      "r1.1",
+				Rank:         urgent,
+				Weight:       1,
+				OutputTokens: 10,
+				Terms:        terms,
+			}}})
+			grants, refusals := answers(t, talk, 1)
+			if len(grants) != 1 {
+				t.Errorf("got refusals %v, want a grant", refusals)
+			}
+		})
+	}
+}
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"math"
 	"time"
 
 	"heatherhold.dev/core/declarer"
@@ -43,23 +44,35 @@
 		return nil
 	}
 	return &messenger.Terms{
-		Order:           int32(r.Order),
+		Order:           bounded(r.Order),
 		BetweenTokensMs: r.BetweenTokens.Std().Milliseconds(),
-		QueueLimit:      int32(r.QueueLimit),
+		QueueLimit:      bounded(r.QueueLimit),
 		MaxWaitMs:       r.MaxWait.Std().Milliseconds(),
 	}
 }
 
-// rankOf returns the terms of an ask; nil if it bears none.
+// bounded returns n as the messages have it.
+func bounded(n int) int32 {
+	return int32(max(math.MinInt32, min(n, math.MaxInt32)))
+}
+
+// termLimit is the longest time that the terms of an ask may name.
+const termLimit = time.Hour
+
+func termOf(ms int64) identifier.Duration {
+	return identifier.DurationOf(time.Duration(min(ms, termLimit.Milliseconds())) * time.Millisecond)
+}
+
+// rankOf returns the terms of an ask; nil if it bears none that can hold.
 func rankOf(t *messenger.Terms) *declarer.Rank {
-	if t == nil {
+	if t == nil || t.GetQueueLimit() < 0 || t.GetMaxWaitMs() < 0 || t.GetBetweenTokensMs() < 0 {
 		return nil
 	}
 	return &declarer.Rank{
 		Order:         int(t.GetOrder()),
-		BetweenTokens: identifier.DurationOf(time.Duration(t.GetBetweenTokensMs()) * time.Millisecond),
+		BetweenTokens: termOf(t.GetBetweenTokensMs()),
 		QueueLimit:    int(t.GetQueueLimit()),
-		MaxWait:       identifier.DurationOf(time.Duration(t.GetMaxWaitMs()) * time.Millisecond),
+		MaxWait:       termOf(t.GetMaxWaitMs()),
 	}
 }
 
