Take the terms of an unknown rank from the latest ask, not the first

What callers saw: urgent requests that wait behind others at an owner that does not know their rank, since the first ask of the rank, from an entry of an older build or configuration, told nothing or something else of it. It held for all entries until the owner's configuration knew the rank, or the pool had no conversation left.

Cause: the terms of a rank that the pool's policy does not know were read once, when its class was made.

Evidence: TestFirstAskFixesTermsForAll, both cases: the less urgent request was first.

Why it works: each ask that tells its terms puts them in force while the policy does not know the rank. Asks without terms, cancels and adopted tickets change nothing.

--- a/router/scheduler/class.go
+++ b/router/scheduler/class.go
@@ -62,6 +62,16 @@
 	return c
 }
 
+// learnTerms puts what a tells of its rank in force, if the pool's policy does not
+// know the rank: another ask may have told less, or by an older configuration.
+func (p *Pool) learnTerms(c *class, a Ask) {
+	if _, ok := p.policy.Ranks[a.Rank]; ok || a.Terms == nil || *a.Terms == c.rank {
+		return
+	}
+	c.configure(*a.Terms)
+	p.sortClasses()
+}
+
 // terms returns what holds for a's rank. The entry has admitted a by its own
 // configuration, so a rank that the pool's policy does not know is no fault of a.
 func (p *Pool) terms(a Ask) declarer.Rank {
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -166,6 +166,7 @@
 		return
 	}
 	c := p.classOf(a)
+	p.learnTerms(c, a)
 	rank := c.rank
 	e := &entry{
 		ask:      a,
