Sign the answers of two stand-ins that came after the check of signatures

What they require is unchanged. The stand-ins of endless answers sign too, so that they still reach the bound that they are for.

--- a/router/receiver/change_test.go
+++ b/router/receiver/change_test.go
@@ -19,7 +19,10 @@
 func (codec) Header(*courier.Request, courier.Send) http.Header { return http.Header{} }
 
 func (codec) Answer(*courier.Request, int, http.Header) courier.Answer {
-	return courier.Answer{Mine: true}
+	return courier.Answer{
+		Mine:    true,
+		Stamped: true,
+	}
 }
 
 func (codec) Returned(h http.Header) http.Header { return h }
--- a/router/relayer/endless_test.go
+++ b/router/relayer/endless_test.go
@@ -50,13 +50,13 @@
 
 // endlessAnswers are answers to the request whose bodies have no end.
 var endlessAnswers = map[string]func(int, io.Writer){
-	"length":     endless("200 OK\r\nId: r1\r\nContent-Length: 9000000000000\r\n\r\n", "x"),
-	"chunks":     endless("200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n"),
-	"extension":  endless("200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"),
-	"trailer":    endless("200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "X: a\r\n"),
-	"to the end": endless("200 OK\r\nId: r1\r\n\r\n", "x"),
-	"failure":    endless("500 X\r\nId: r1\r\n\r\n", "x"),
-	"header":     endless("200 OK\r\nId: r1\r\nX: ", "x"),
+	"length":     endless("200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 9000000000000\r\n\r\n", "x"),
+	"chunks":     endless("200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n"),
+	"extension":  endless("200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"),
+	"trailer":    endless("200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "X: a\r\n"),
+	"to the end": endless("200 OK\r\nId: r1\r\nStamp: s\r\n\r\n", "x"),
+	"failure":    endless("500 X\r\nId: r1\r\nStamp: s\r\n\r\n", "x"),
+	"header":     endless("200 OK\r\nId: r1\r\nStamp: s\r\nX: ", "x"),
 }
 
 // requireClosed requires that the endpoint's connection is closed soon.
@@ -180,7 +180,7 @@
 	// Each stops short of any bound on one answer and keeps its connection open.
 	big := []byte(strings.Repeat("x", 6<<20))
 	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
-		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 9000000000000\r\n\r\n")
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Length: 9000000000000\r\n\r\n")
 		w.Write(big)
 	})
 	b := newBed(cataloguer.AtMostOnce, false, e)
@@ -242,9 +242,9 @@
 // no stream and has no end: its bytes would be passed on until the deadline.
 func TestEndlessStreamRefusal(t *testing.T) {
 	for name, serve := range map[string]func(int, io.Writer){
-		"length":     endless("404 X\r\nId: r1\r\nContent-Length: 9000000000000\r\n\r\n", "x"),
-		"chunks":     endless("404 X\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n"),
-		"to the end": endless("500 X\r\nId: r1\r\n\r\n", "x"),
+		"length":     endless("404 X\r\nId: r1\r\nStamp: s\r\nContent-Length: 9000000000000\r\n\r\n", "x"),
+		"chunks":     endless("404 X\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n"+strings.Repeat("x", 1<<10)+"\r\n"),
+		"to the end": endless("500 X\r\nId: r1\r\nStamp: s\r\n\r\n", "x"),
 	} {
 		t.Run("once, "+name, func(t *testing.T) {
 			e := newEndpoint(t, "a", serve)
@@ -354,7 +354,7 @@
 func TestEventsWithoutID(t *testing.T) {
 	want := ": first\n\nid: 1\ndata: 1\n\n: more\n\ndata: x\n\nid: 2\ndata: 2\n\ndata: [DONE]\n\n"
 	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
-		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 		chunk(w, want)
 		fmt.Fprint(w, "0\r\n\r\n")
 	})
@@ -370,7 +370,7 @@
 	// Each sends what callers' events never reach and keeps its connection open.
 	long := []byte("f0000\r\nid: 1\ndata: " + strings.Repeat("x", 0xf0000-12) + "\r\n")
 	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
-		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 		w.Write(long)
 	})
 	b := newBed(cataloguer.AtMostOnce, true, e)
@@ -395,7 +395,7 @@
 // TestNoiseNotLogged guards against logs that repeat what an endpoint sent at length.
 func TestNoiseNotLogged(t *testing.T) {
 	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
-		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n")
 		chunk(w, "id: "+strings.Repeat("x", 30<<10)+"\n\n")
 	})
 	b := newBed(cataloguer.AtMostOnce, true, e)
