--- a/router/relayer/stream.go
+++ b/router/relayer/stream.go
@@ -29,9 +29,11 @@
 	engine  *cataloguer.Engine
 	w       http.ResponseWriter
 	started bool
-	ran     bool
-	runs    int
-	tries   atomic.Int64
+	// status is what the caller was answered, once started.
+	status int
+	ran    bool
+	runs   int
+	tries  atomic.Int64
 	// last is the last event that the caller holds.
 	last atomic.Int64
 	// passed counts the events that were passed on.
@@ -204,6 +206,7 @@
 // begin sends the caller the head of the answer.
 func (s *stream) begin(a *exchanger.Answer) {
 	s.started = true
+	s.status = a.Status
 	h := s.w.Header()
 	for name, values := range s.relayer.Codec.Returned(a.Header) {
 		h[name] = values
--- a/router/relayer/timing.go
+++ b/router/relayer/timing.go
@@ -40,6 +40,7 @@
 		"longest-ms": s.timing.longest.Milliseconds(),
 		"tries":      s.tries.Load(),
 		"events":     s.passed,
+		"status":     s.status,
 		"chain":      describe(s.chain),
 	})
 	s.relayer.Reporter.Timed(s.job.Service, reporter.Stream{
