Refuse requests that come when a planned stop has no time left for them

Cause: a stopping instance takes requests for stop.notice, 3 s, from when it has handled the signal, and on connections that are open longer still.

--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -37,6 +37,7 @@
 	Log     logrus.FieldLogger
 
 	active atomic.Int64
+	closed atomic.Bool
 }
 
 // Active returns how many requests are being served.
@@ -44,6 +45,12 @@
 	return x.active.Load()
 }
 
+// Close refuses requests that come from now on: there may not be the time left to
+// finish them. Those being served go on.
+func (x *Receiver) Close() {
+	x.closed.Store(true)
+}
+
 // Ready answers the balancer: 200 while the instance can serve new callers.
 func (x *Receiver) Ready(w http.ResponseWriter, _ *http.Request) {
 	if x.Observer.Stopping() || x.Observer.View().Site == nil || !x.Observer.Confirmed(time.Now()) {
@@ -65,6 +72,14 @@
 		x.refuse(w, v, request, classifier.New(classifier.BadRequest, err.Error()))
 		return
 	}
+	if x.closed.Load() {
+		x.refuse(w, v, request, &classifier.Error{
+			Kind:       classifier.Stopping,
+			Detail:     "the instance stops; another one takes the request",
+			RetryAfter: stoppingRetry,
+		})
+		return
+	}
 	started, err := x.serve(w, r, v, request)
 	if err == nil {
 		return
@@ -175,6 +190,8 @@
 	// staleRetry is when a caller had better come back to an instance that
 	// waits for its configuration.
 	staleRetry = 300 * time.Millisecond
+	// stoppingRetry is when a caller had better come to another instance.
+	stoppingRetry = 50 * time.Millisecond
 	// busyRetry is when a caller had better come back where no better time is known.
 	busyRetry = 500 * time.Millisecond
 )
--- a/router/receiver/receiver_test.go
+++ b/router/receiver/receiver_test.go
@@ -173,3 +173,42 @@
 		t.Errorf("after the time to decide: got %d, want %d", got, want)
 	}
 }
+
+// TestRequestTakenLateInStop guards against a request that is taken when a planned
+// stop no longer has the time to finish it.
+func TestRequestTakenLateInStop(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		t.Error("the endpoint was asked, want the request to be refused")
+	}))
+	defer endpoint.Close()
+	x, lines := newReceiver(nil)
+	x.Relayer.Codec = codec{}
+	x.Observer.Publish(&observer.View{
+		Revision: 3,
+		Site:     newSite(),
+		Fleet: map[identifier.Service][]cataloguer.Endpoint{"s": {{
+			Life: identifier.Life{
+				Endpoint:    "e1",
+				Incarnation: 1,
+			},
+			Service: "s",
+			Address: strings.TrimPrefix(endpoint.URL, "http://"),
+		}}},
+	})
+	x.Relayer.Exchanger.DialTimeout = time.Second
+	x.Observer.Stop()
+	x.Close()
+	r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "http://h.example/orders/1", nil)
+	r.Header.Set("Key", "k")
+	w := httptest.NewRecorder()
+	x.ServeHTTP(w, r)
+	if got, want := w.Code, http.StatusServiceUnavailable; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+	if got, want := w.Header().Get("Connection"), "close"; got != want {
+		t.Errorf("Connection: got %q, want %q", got, want)
+	}
+	if want := `"kind":"stopping"`; !strings.Contains(lines.String(), want) {
+		t.Errorf("got log %s, want %s in it", lines, want)
+	}
+}
--- a/router/sitedaemon.go
+++ b/router/sitedaemon.go
@@ -242,17 +242,20 @@
 	s.parts.Log.WithField("store-moved", changed).Info("settings read again")
 }
 
-// stop is the planned stop: not ready at once, serving on until the requests in
-// flight are done, and for most of the time that the platform grants.
+// stop is the planned stop: not ready at once, taking requests until the balancer
+// has had time to notice, and serving on until those in flight are done, for most
+// of the time that the platform grants.
 func (s *site) stop(ctx context.Context) error {
 	p := s.parts
+	noticed := time.Now().Add(p.Settings.Stop.Notice.Std())
 	ctx, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std()-stopMargin)
 	defer cancel()
 	p.Log.WithField("requests", p.Receiver.Active()).Info("stopping: not ready for new work")
 	if err := p.Controller.Leave(ctx); err != nil {
 		p.Log.WithError(err).Warn("peers not told of the stop")
 	}
-	time.Sleep(p.Settings.Stop.Notice.Std())
+	time.Sleep(time.Until(noticed))
+	p.Receiver.Close()
 	if err := s.caller.Shutdown(ctx); err != nil {
 		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
 	}
