Search each data centre pair once a ticket, not each pair of endpoints

The search compared each pair of endpoints, asked the links for each, hashed four maps for each endpoint, and did so for the head of each customer's queue at each message.

Change: the search keeps the cheapest chain for each layer and data centre; the state of an endpoint is found by its place; a request that is not smaller than one that found no chain in the same round is not searched for; the capacity is calculated when endpoints change; nothing is done while nobody waits; reports are sorted without formatting their names.

--- a/router/granter/serve.go
+++ b/router/granter/serve.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -35,7 +36,10 @@
 
 func sortReports(reports []scheduler.Report) []scheduler.Report {
 	slices.SortFunc(reports, func(a, b scheduler.Report) int {
-		return strings.Compare(a.String(), b.String())
+		return cmp.Or(
+			strings.Compare(string(a.Endpoint), string(b.Endpoint)),
+			cmp.Compare(a.Incarnation, b.Incarnation),
+		)
 	})
 	return reports
 }
--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -3,6 +3,7 @@
 package planner
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -66,28 +67,47 @@
 	prev int
 }
 
+// arrival is the cheapest chain that ends at one layer in one data centre. Of all
+// chains that end there only this one can be the start of the cheapest whole chain.
+type arrival struct {
+	layer  identifier.Layer
+	centre int
+	cost   float64
+	// runner is the index of the chain's last runner.
+	runner int
+}
+
+// search is the state of one call of Best.
+type search struct {
+	runners  []Runner
+	need     *Need
+	centres  *centres
+	nodes    []node
+	arrivals []arrival
+}
+
 // Best returns the cheapest chain that covers layers [0, need.Layers) of the
 // version with no gap and no overlap, as indexes into runners. Each runner in it has
 // a free slot and enough memory, and need.Avoid doesn't list it. Best returns nil if
-// there is no such chain.
+// there is no such chain. It is faster if runners are in the order of SortByEnd.
 func Best(runners []Runner, links Links, need Need) []int {
-	order := orderByEnd(runners)
-	nodes := make([]node, len(runners))
+	s := &search{
+		runners: runners,
+		need:    &need,
+		centres: newCentres(runners, links, &need),
+		nodes:   make([]node, len(runners)),
+	}
 	best := -1
-	for _, i := range order {
-		nodes[i] = node{
-			cost: math.Inf(1),
-			prev: -1,
-		}
+	for _, i := range orderByEnd(runners) {
 		if !usable(&runners[i], &need) {
 			continue
 		}
-		setNode(runners, nodes, order, i, links, need)
-		if runners[i].To == need.Layers && cheaper(nodes, i, best) {
+		s.reach(i)
+		if runners[i].To == need.Layers && cheaper(s.nodes, i, best) {
 			best = i
 		}
 	}
-	return backtrack(nodes, best)
+	return backtrack(s.nodes, best)
 }
 
 func cheaper(nodes []node, i, best int) bool {
@@ -97,49 +117,93 @@
 	return best < 0 || nodes[i].cost < nodes[best].cost
 }
 
-// setNode sets the node of runner i; the cost stays infinite if there is no chain.
-// The nodes of all runners that end at an earlier layer must be set.
-func setNode(runners []Runner, nodes []node, order []int, i int, links Links, need Need) {
-	r := &runners[i]
-	if r.From == 0 && hasMemory(r, need, 1) {
-		nodes[i].cost = runnerCost(r, need, 1) + hopCost(links, need.Entry, r.DataCentre, need)
+// reach sets the node of runner i; the cost stays infinite if there is no chain. It
+// must have been called for all usable runners that end at an earlier layer.
+func (s *search) reach(i int) {
+	r := &s.runners[i]
+	centre := s.centres.index(r.DataCentre)
+	whole := wholeCost(r, s.need)
+	waiting := backlogWeight * float64(r.Backlog)
+	best := node{
+		cost: math.Inf(1),
+		prev: -1,
 	}
-	for _, j := range order {
-		prev := &runners[j]
-		if prev.To >= r.To {
-			return
-		}
-		if !connects(prev, r, need) || math.IsInf(nodes[j].cost, 1) {
-			continue
+	if r.From == 0 && hasMemory(r, s.need, 1) {
+		best.cost = whole + waiting + s.centres.entryCost(centre)
+	}
+	for _, a := range s.connecting(r) {
+		fraction := float64(r.To-a.layer) / float64(r.To-r.From)
+		cost := a.cost + fraction*whole + waiting + s.centres.crossingCost(a.centre, centre)
+		if cost < best.cost && hasMemory(r, s.need, fraction) {
+			best = node{
+				cost: cost,
+				prev: a.runner,
+			}
 		}
-		fraction := float64(r.To-prev.To) / float64(r.To-r.From)
-		if !hasMemory(r, need, fraction) {
+	}
+	s.nodes[i] = best
+	if !math.IsInf(best.cost, 1) {
+		s.arrive(r.To, centre, i)
+	}
+}
+
+// connecting returns the arrivals at which r can continue.
+func (s *search) connecting(r *Runner) []arrival {
+	first := s.firstArrival(r.From)
+	if s.need.Partial {
+		return s.arrivals[first:s.firstArrival(r.To)]
+	}
+	return s.arrivals[first:s.firstArrival(r.From+1)]
+}
+
+// firstArrival returns the index of the first arrival at the layer or a later one.
+func (s *search) firstArrival(l identifier.Layer) int {
+	i, _ := slices.BinarySearchFunc(s.arrivals, l, func(a arrival, l identifier.Layer) int { return cmp.Compare(a.layer, l) })
+	return i
+}
+
+// arrive records that the chain of node i ends at a layer, which no earlier arrival
+// may exceed.
+func (s *search) arrive(l identifier.Layer, centre, i int) {
+	for k := s.firstArrival(l); k < len(s.arrivals); k++ {
+		a := &s.arrivals[k]
+		if a.centre != centre {
 			continue
 		}
-		cost := nodes[j].cost + runnerCost(r, need, fraction) + hopCost(links, prev.DataCentre, r.DataCentre, need) + transferCost(links, prev.DataCentre, r.DataCentre, need)
-		if cost < nodes[i].cost {
-			nodes[i].cost = cost
-			nodes[i].prev = j
+		if s.nodes[i].cost < a.cost {
+			a.cost = s.nodes[i].cost
+			a.runner = i
 		}
+		return
 	}
+	s.arrivals = append(s.arrivals, arrival{
+		layer:  l,
+		centre: centre,
+		cost:   s.nodes[i].cost,
+		runner: i,
+	})
 }
 
-// connects reports whether r can continue at the layer where prev ends.
-func connects(prev, r *Runner, need Need) bool {
-	if need.Partial {
-		return r.From <= prev.To
-	}
-	return r.From == prev.To
+// SortByEnd sorts items by the last layer of the runner of each; it keeps the order
+// of those that end at the same layer.
+func SortByEnd[T any](items []T, runner func(*T) *Runner) {
+	slices.SortStableFunc(items, func(a, b T) int { return compareEnds(runner(&a), runner(&b)) })
+}
+
+func compareEnds(a, b *Runner) int {
+	return cmp.Compare(a.To, b.To)
 }
 
+// orderByEnd returns the indexes of runners by the last layer of each.
 func orderByEnd(runners []Runner) []int {
 	order := make([]int, len(runners))
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return int(runners[a].To) - int(runners[b].To)
-	})
+	byEnd := func(a, b int) int { return compareEnds(&runners[a], &runners[b]) }
+	if !slices.IsSortedFunc(order, byEnd) {
+		slices.SortStableFunc(order, byEnd)
+	}
 	return order
 }
 
@@ -152,7 +216,7 @@
 
 // hasMemory reports whether r has memory for a request that uses the given
 // fraction of its layers.
-func hasMemory(r *Runner, need Need, fraction float64) bool {
+func hasMemory(r *Runner, need *Need, fraction float64) bool {
 	return r.MemoryTokens <= 0 || r.ReservedTokens+identifier.Tokens(fraction*float64(need.Tokens())) <= r.MemoryTokens
 }
 
@@ -172,35 +236,21 @@
 	loadShare  = 0.5
 )
 
-// runnerCost estimates the time that the request spends in r if it uses the given
-// fraction of r's layers: its prompt, the weighted backlog, its output tokens at
-// the load that includes the request, and the slowdown that it causes to others.
-func runnerCost(r *Runner, need Need, fraction float64) float64 {
+// wholeCost estimates the time that the request spends in r if it uses all of r's
+// layers: its prompt, its output tokens at the load that includes the request, and
+// the slowdown that it causes to others. The time for some of the layers is in
+// proportion; r's backlog is not included.
+func wholeCost(r *Runner, need *Need) float64 {
 	load := float64(r.Running+1) / float64(r.Slots)
-	token := fraction * float64(r.TokenTime) * (fixedShare + loadShare*load)
-	prompt := fraction * float64(max(need.Prompt-r.Cached, 0)) * float64(r.PrefillTime)
-	return prompt + backlogWeight*float64(r.Backlog) + token*float64(need.Output)*(1+load*load)
+	token := float64(r.TokenTime) * (fixedShare + loadShare*load)
+	prompt := float64(max(need.Prompt-r.Cached, 0)) * float64(r.PrefillTime)
+	return prompt + token*float64(need.Output)*(1+load*load)
 }
 
 // backlogWeight is how much more the wait for the first token counts than time
 // spent on later tokens.
 const backlogWeight = 4
 
-// hopCost returns the time that the request's output tokens spend on one link.
-func hopCost(links Links, from, to identifier.DataCentre, need Need) float64 {
-	return float64(links.Delay(from, to)) * float64(need.Output)
-}
-
-// transferCost returns the cost of transferring the request's prompt between two
-// stages. It is 0 within a data centre, or if links does not implement TransferTimer.
-func transferCost(links Links, from, to identifier.DataCentre, need Need) float64 {
-	transferTimes, ok := links.(TransferTimer)
-	if !ok || from == to {
-		return 0
-	}
-	return float64(transferTimes.TransferTime(from, to, need.Prompt))
-}
-
 func backtrack(nodes []node, last int) []int {
 	if last < 0 {
 		return nil
--- a/router/scheduler/failure.go
+++ b/router/scheduler/failure.go
@@ -18,8 +18,8 @@
 	probeTime = 400 * time.Millisecond
 )
 
-// failure is the failure state of an endpoint that broke a stream. After a pause
-// the endpoint gets one stream as a probe, and other streams once the probe has
+// failure is the failure state of an endpoint; the zero value is that of an endpoint
+// that broke no stream. After a pause the endpoint gets one stream as a probe, and other streams once the probe has
 // run for probeTime.
 type failure struct {
 	consecutive  int
@@ -28,8 +28,13 @@
 	probeStarted time.Time
 }
 
+// failed reports whether the endpoint broke a stream and has delivered none since.
+func (f *failure) failed() bool {
+	return f.consecutive > 0
+}
+
 // usableSlots returns how many of an endpoint's slots may be used.
-func (f failure) usableSlots(now time.Time, slots int) int {
+func (f *failure) usableSlots(now time.Time, slots int) int {
 	switch {
 	case now.Before(f.pausedUntil):
 		return 0
@@ -45,13 +50,12 @@
 // probe of the endpoint. It reports false if the endpoint has not failed, is still
 // paused or already has a probe.
 func (p *Pool) startProbe(now time.Time, incarnation identifier.EndpointIncarnation, r identifier.Request) bool {
-	f, ok := p.failures[incarnation]
-	if !ok || f.probe != "" || now.Before(f.pausedUntil) {
+	f := &p.state(incarnation).failure
+	if !f.failed() || f.probe != "" || now.Before(f.pausedUntil) {
 		return false
 	}
 	f.probe = r
 	f.probeStarted = now
-	p.failures[incarnation] = f
 	return true
 }
 
@@ -63,16 +67,16 @@
 		p.recordFailure(now, o.Failed)
 	}
 	for _, s := range active.chain {
-		old, ok := p.failures[s.EndpointIncarnation]
+		f := &p.state(s.EndpointIncarnation).failure
 		switch {
-		case !ok || s.EndpointIncarnation == o.Failed:
+		case !f.failed() || s.EndpointIncarnation == o.Failed:
 		case o.Failed.Endpoint == "" && o.Tokens > 0:
-			delete(p.failures, s.EndpointIncarnation)
-		case old.probe == active.ask.Request && now.Before(old.probeStarted.Add(probeTime)):
+			*f = failure{}
+		case f.probe == active.ask.Request && now.Before(f.probeStarted.Add(probeTime)):
 			// The probe ended early for another reason and is inconclusive.
-			old.probe = ""
-			p.failures[s.EndpointIncarnation] = old
+			f.probe = ""
 		}
+		p.forget(s.EndpointIncarnation)
 	}
 }
 
@@ -80,12 +84,12 @@
 // may break many streams at once and counts once: failures during a pause are
 // ignored.
 func (p *Pool) recordFailure(now time.Time, incarnation identifier.EndpointIncarnation) {
-	old := p.failures[incarnation]
-	if now.Before(old.pausedUntil) {
+	f := &p.state(incarnation).failure
+	if now.Before(f.pausedUntil) {
 		return
 	}
-	p.failures[incarnation] = failure{
-		consecutive: old.consecutive + 1,
-		pausedUntil: now.Add(min(basePause<<min(old.consecutive, maxDoublings), maxPause)),
+	*f = failure{
+		consecutive: f.consecutive + 1,
+		pausedUntil: now.Add(min(basePause<<min(f.consecutive, maxDoublings), maxPause)),
 	}
 }
--- a/router/scheduler/load.go
+++ b/router/scheduler/load.go
@@ -38,22 +38,20 @@
 
 // addLoad adds the load of a stream that starts on an endpoint.
 func (p *Pool) addLoad(incarnation identifier.EndpointIncarnation, fraction float64, tokens identifier.Tokens) {
-	l := p.loads[incarnation]
+	l := &p.state(incarnation).load
 	l.streams++
 	l.slots += fraction
 	l.reservedTokens += scale(tokens, fraction)
-	p.loads[incarnation] = l
 }
 
 // removeLoad subtracts the load that addLoad added.
 func (p *Pool) removeLoad(incarnation identifier.EndpointIncarnation, fraction float64, tokens identifier.Tokens) {
-	l := p.loads[incarnation]
+	l := &p.state(incarnation).load
 	l.streams--
 	l.slots -= fraction
 	l.reservedTokens -= scale(tokens, fraction)
 	if l.streams <= 0 {
-		delete(p.loads, incarnation)
-		return
+		*l = load{}
+		p.forget(incarnation)
 	}
-	p.loads[incarnation] = l
 }
--- a/router/scheduler/prefix.go
+++ b/router/scheduler/prefix.go
@@ -24,12 +24,15 @@
 type prefixIndex struct {
 	entries map[prefixKey]*list.Element
 	recency map[identifier.EndpointIncarnation]*list.List
+	// holders counts the endpoints of each prefix.
+	holders map[uint64]int
 }
 
 func newPrefixIndex() *prefixIndex {
 	return &prefixIndex{
 		entries: make(map[prefixKey]*list.Element),
 		recency: make(map[identifier.EndpointIncarnation]*list.List),
+		holders: make(map[uint64]int),
 	}
 }
 
@@ -50,16 +53,30 @@
 		recent.MoveToFront(e)
 		return
 	}
+	x.holders[prefix]++
 	x.entries[key] = recent.PushFront(prefixEntry{
 		key:    key,
 		tokens: tokens,
 	})
 	if recent.Len() > maxPrefixes {
 		oldest := recent.Remove(recent.Back()).(prefixEntry)
-		delete(x.entries, oldest.key)
+		x.remove(oldest.key)
 	}
 }
 
+func (x *prefixIndex) remove(key prefixKey) {
+	delete(x.entries, key)
+	x.holders[key.prefix]--
+	if x.holders[key.prefix] <= 0 {
+		delete(x.holders, key.prefix)
+	}
+}
+
+// known reports whether any endpoint is assumed to have a prompt with prefix cached.
+func (x *prefixIndex) known(prefix uint64) bool {
+	return x.holders[prefix] > 0
+}
+
 // cached returns how many prompt tokens of a request with prefix the endpoint
 // incarnation is assumed to have cached: the length of the first prompt with prefix
 // that ran there.
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -20,34 +20,82 @@
 	to   identifier.DataCentre
 }
 
+// runnerState is what the pool itself knows about one endpoint incarnation.
+type runnerState struct {
+	// listed is set if the endpoint is in the last reports.
+	listed bool
+	// foreignStreams is the number of streams of other owners.
+	foreignStreams int
+	// load is the capacity that the pool's own tickets use.
+	load    load
+	failure failure
+	// prefillUntil is when the endpoint will have processed the prompts assigned to it.
+	prefillUntil time.Time
+}
+
+// state returns the state of an endpoint, which it creates on first use.
+func (p *Pool) state(incarnation identifier.EndpointIncarnation) *runnerState {
+	s, ok := p.states[incarnation]
+	if !ok {
+		s = &runnerState{}
+		p.states[incarnation] = s
+	}
+	return s
+}
+
+// forget deletes the state of an endpoint that is not listed, has no stream and has
+// not failed.
+func (p *Pool) forget(incarnation identifier.EndpointIncarnation) {
+	s, ok := p.states[incarnation]
+	if ok && !s.listed && s.load.streams <= 0 && !s.failure.failed() {
+		delete(p.states, incarnation)
+	}
+}
+
 // SetRunners replaces the known state of the pool's endpoints. Streams that an
 // endpoint reports beyond the pool's own tickets count as streams of another owner.
 func (p *Pool) SetRunners(reports []Report) {
 	p.prepare()
-	p.runners = p.runners[:0]
-	clear(p.foreignStreams)
-	prefillUntil := make(map[identifier.EndpointIncarnation]time.Time, len(reports))
-	for _, r := range reports {
-		prefillUntil[r.EndpointIncarnation] = p.prefillUntil[r.EndpointIncarnation]
+	for _, s := range p.states {
+		s.listed = false
 	}
-	p.prefillUntil = prefillUntil
+	planner.SortByEnd(reports, func(r *Report) *planner.Runner { return &r.Runner })
+	p.runners = p.runners[:0]
+	p.runnerStates = p.runnerStates[:0]
+	clear(p.runnerIndex)
 	for _, r := range reports {
+		s := p.state(r.EndpointIncarnation)
+		s.listed = true
+		s.foreignStreams = max(r.Reported-s.load.streams, 0)
+		p.runnerIndex[r.EndpointIncarnation] = len(p.runners)
 		p.runners = append(p.runners, r.Runner)
-		p.foreignStreams[r.EndpointIncarnation] = max(r.Reported-p.loads[r.EndpointIncarnation].streams, 0)
+		p.runnerStates = append(p.runnerStates, s)
+	}
+	for incarnation, s := range p.states {
+		if !s.listed {
+			s.foreignStreams = 0
+			s.prefillUntil = time.Time{}
+			p.forget(incarnation)
+		}
 	}
+	p.updateCapacity()
+}
+
+// updateCapacity calculates the token rate that the pool can sustain.
+func (p *Pool) updateCapacity() {
+	p.capacity = planner.Capacity(p.runners, p.policy.Layers, p.policy.Version)
 }
 
 // updateLoads sets each runner's load at now. A runner that has just failed counts
 // as full, except for one probe stream after its pause.
 func (p *Pool) updateLoads(now time.Time) {
-	for i := range p.runners {
+	for i, s := range p.runnerStates {
 		r := &p.runners[i]
-		l := p.loads[r.EndpointIncarnation]
-		r.Running = l.usedSlots() + p.foreignStreams[r.EndpointIncarnation]
-		r.ReservedTokens = l.reservedTokens
-		r.Backlog = max(p.prefillUntil[r.EndpointIncarnation].Sub(now), 0)
-		if f, ok := p.failures[r.EndpointIncarnation]; ok {
-			r.Running = max(r.Running, r.Slots-f.usableSlots(now, r.Slots))
+		r.Running = s.load.usedSlots() + s.foreignStreams
+		r.ReservedTokens = s.load.reservedTokens
+		r.Backlog = max(s.prefillUntil.Sub(now), 0)
+		if s.failure.failed() {
+			r.Running = max(r.Running, r.Slots-s.failure.usableSlots(now, r.Slots))
 		}
 	}
 }
@@ -59,14 +107,15 @@
 	if r == nil {
 		return
 	}
-	r.Running = p.loads[s.EndpointIncarnation].usedSlots() + p.foreignStreams[s.EndpointIncarnation]
+	state := p.state(s.EndpointIncarnation)
+	r.Running = state.load.usedSlots() + state.foreignStreams
 	if p.startProbe(now, s.EndpointIncarnation, active.ask.Request) {
 		r.Running = max(r.Running, r.Slots)
 	}
 	r.ReservedTokens += scale(active.reservedTokens, fraction)
 	prefill := scale(time.Duration(active.ask.Prompt)*r.PrefillTime, fraction)
-	p.prefillUntil[s.EndpointIncarnation] = later(p.prefillUntil[s.EndpointIncarnation], now).Add(prefill)
-	r.Backlog = p.prefillUntil[s.EndpointIncarnation].Sub(now)
+	state.prefillUntil = later(state.prefillUntil, now).Add(prefill)
+	r.Backlog = state.prefillUntil.Sub(now)
 }
 
 func later(a, b time.Time) time.Time {
@@ -78,9 +127,7 @@
 
 // plan chooses a chain for a; nil if none is available now.
 func (p *Pool) plan(a Ask) []identifier.Stage {
-	for i := range p.runners {
-		p.runners[i].Cached = p.prefixes.cached(a.Prefix, p.runners[i].EndpointIncarnation)
-	}
+	p.setCached(a.Prefix)
 	version := p.policy.Version
 	if a.Version != "" {
 		version = a.Version
@@ -99,6 +146,19 @@
 	return chain
 }
 
+// setCached sets how many prompt tokens of a request with the prefix each runner is
+// assumed to have cached.
+func (p *Pool) setCached(prefix uint64) {
+	known := p.prefixes.known(prefix)
+	if !known && !p.cachedSet {
+		return
+	}
+	p.cachedSet = known
+	for i := range p.runners {
+		p.runners[i].Cached = p.prefixes.cached(prefix, p.runners[i].EndpointIncarnation)
+	}
+}
+
 // need returns the requirements of a chain for a.
 func (p *Pool) need(a Ask, version identifier.Version) planner.Need {
 	return planner.Need{
@@ -112,6 +172,28 @@
 	}
 }
 
+// unlimitedTokens is more than the size of any request.
+const unlimitedTokens = identifier.Tokens(math.MaxInt64)
+
+// planWaiting is plan for one of many waiting requests. Within a round of decisions
+// endpoints only get fuller, so that a request that is not smaller than one that
+// found no chain finds none either.
+func (p *Pool) planWaiting(a Ask) []identifier.Stage {
+	if a.Repairs != "" || a.Version != "" {
+		return p.plan(a)
+	}
+	need := p.need(a, p.policy.Version)
+	size := need.Tokens()
+	if size >= p.unplaceable {
+		return nil
+	}
+	chain := p.plan(a)
+	if chain == nil && len(a.Avoid) == 0 {
+		p.unplaceable = size
+	}
+	return chain
+}
+
 // repair returns the chain of an active request with replacements for the stages
 // that a avoids or whose layers their endpoints no longer hold; nil if that is not
 // possible.
@@ -158,19 +240,21 @@
 // covered reports whether endpoints of the declared version hold every layer, with
 // or without free slots.
 func (p *Pool) covered() bool {
-	return planner.Capacity(p.runners, p.policy.Layers, p.policy.Version) > 0
+	return p.capacity > 0
 }
 
 // estimateWait predicts how long a request would wait for the queued work ahead of
 // it, at the token rate that the pool can sustain.
 func (p *Pool) estimateWait(now time.Time, c *class, w *waitingRequest) time.Duration {
-	rate := planner.Capacity(p.runners, p.policy.Layers, p.policy.Version)
+	ahead := p.tokensAhead(c, w)
+	if p.capacity <= 0 || ahead <= 0 {
+		return 0
+	}
 	p.updateLoads(now)
-	if rate <= 0 || !p.saturated() {
+	if !p.saturated() {
 		return 0
 	}
-	ahead := p.tokensAhead(c, w)
-	return time.Duration(ahead / rate * float64(time.Second))
+	return time.Duration(ahead / p.capacity * float64(time.Second))
 }
 
 // tokensAhead returns the tokens of the queued work that would be served before w: of
@@ -278,11 +362,11 @@
 	}
 }
 
+// runner returns the runner of an endpoint; nil if it is not listed.
 func (p *Pool) runner(incarnation identifier.EndpointIncarnation) *planner.Runner {
-	for i := range p.runners {
-		if p.runners[i].EndpointIncarnation == incarnation {
-			return &p.runners[i]
-		}
+	i, ok := p.runnerIndex[incarnation]
+	if !ok {
+		return nil
 	}
-	return nil
+	return &p.runners[i]
 }
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -37,15 +37,20 @@
 type Pool struct {
 	policy Policy
 
-	runners []planner.Runner
-	// foreignStreams counts the streams of other owners on each endpoint.
-	foreignStreams map[identifier.EndpointIncarnation]int
-	// loads is the capacity of each endpoint that the pool's own tickets use.
-	loads    map[identifier.EndpointIncarnation]load
-	failures map[identifier.EndpointIncarnation]failure
-	// prefillUntil is when each endpoint will have processed the prompts assigned to
-	// it.
-	prefillUntil     map[identifier.EndpointIncarnation]time.Time
+	// runners is in the order of planner.SortByEnd; runnerStates holds the state of
+	// each, and runnerIndex where each is.
+	runners      []planner.Runner
+	runnerStates []*runnerState
+	runnerIndex  map[identifier.EndpointIncarnation]int
+	states       map[identifier.EndpointIncarnation]*runnerState
+	// capacity is the token rate that the pool can sustain, in tokens a second.
+	capacity float64
+	// unplaceable is the least size of a request that found no chain in the present
+	// round of decisions.
+	unplaceable identifier.Tokens
+	// cachedSet is set if a runner may have a Cached other than 0.
+	cachedSet bool
+
 	classes          map[classKey]*class
 	classOrder       []*class
 	active           map[identifier.Request]*activeRequest
@@ -137,10 +142,8 @@
 	if p.classes != nil {
 		return
 	}
-	p.foreignStreams = make(map[identifier.EndpointIncarnation]int)
-	p.loads = make(map[identifier.EndpointIncarnation]load)
-	p.failures = make(map[identifier.EndpointIncarnation]failure)
-	p.prefillUntil = make(map[identifier.EndpointIncarnation]time.Time)
+	p.runnerIndex = make(map[identifier.EndpointIncarnation]int)
+	p.states = make(map[identifier.EndpointIncarnation]*runnerState)
 	p.classes = make(map[classKey]*class)
 	p.active = make(map[identifier.Request]*activeRequest)
 	p.waiting = make(map[identifier.Request]*waitingRequest)
@@ -155,6 +158,7 @@
 func (p *Pool) Configure(policy Policy) {
 	p.prepare()
 	p.policy = policy
+	p.updateCapacity()
 	for _, c := range p.classOrder {
 		rank, ok := policy.Ranks[c.key.rank]
 		if !ok {
@@ -284,25 +288,34 @@
 // since the last call.
 func (p *Pool) Decide(now time.Time) []Decision {
 	p.prepare()
-	p.expire(now)
+	if len(p.waiting) > 0 {
+		p.expire(now)
+		p.grantWaiting(now)
+	}
+	out := p.decisions
+	p.decisions = nil
+	return out
+}
+
+// grantWaiting grants chains to the waiting requests that can start now, and revokes
+// chains for the others as far as their class may.
+func (p *Pool) grantWaiting(now time.Time) {
 	p.updateLoads(now)
+	p.unplaceable = unlimitedTokens
 	blocked := make(map[*class]bool)
 	for {
 		c := p.nextClass(now, blocked)
 		if c == nil {
-			break
+			return
 		}
 		if !p.grantFrom(now, c) {
 			blocked[c] = true
 			p.preempt(now, c)
 			if p.saturated() {
-				break
+				return
 			}
 		}
 	}
-	out := p.decisions
-	p.decisions = nil
-	return out
 }
 
 // grantFrom starts one request of c: of the first waiting request of each customer,
@@ -313,7 +326,7 @@
 		if now.Sub(w.since) > maxAvoidTime {
 			w.ask.Avoid = nil
 		}
-		chain := p.plan(w.ask)
+		chain := p.planWaiting(w.ask)
 		if chain == nil || p.tooSlow(now, c, w, chain) {
 			continue
 		}
@@ -397,7 +410,8 @@
 
 // Uses reports whether an active request runs on an endpoint incarnation.
 func (p *Pool) Uses(incarnation identifier.EndpointIncarnation) bool {
-	return p.loads[incarnation].streams > 0
+	s, ok := p.states[incarnation]
+	return ok && s.load.streams > 0
 }
 
 // Holds reports whether a request holds a chain.
