Let only instances about as strong as the strongest own pools

On a fleet whose machines differ fourfold in processor time the pool's owner was a weak one for 12 of 13 pools' names.

Cause: rendezvous hashing whatever the machine is, though all entries wait for the owner. Ruled out: a hash weighted by processor time (with 15 strong and 180 weak instances a weak one would still own three pools in four).

Change: each instance tells its processor time (settings store.processor-share and store.processor-speed, the registry's row, the exchanges); those with at least half of the strongest's may own pools. Instances that don't say it count as 0; where none does, all may.

--- a/core/messenger/platform.go
+++ b/core/messenger/platform.go
@@ -40,6 +40,9 @@
 	DataCentre  string `json:"data-centre"`
 	Site        string `json:"site"`
 	Leaving     bool   `json:"leaving"`
+	// Processor is the processor time that a router instance may use, in thousandths
+	// of a core; 0 if it is not known.
+	Processor uint32 `json:"processor,omitempty"`
 }
 
 // InstanceList is the whole instance list.
--- a/router/acquirer/acquirer_test.go
+++ b/router/acquirer/acquirer_test.go
@@ -86,8 +86,9 @@
 	a.Self = "entry"
 	a.Publisher = publisher.New()
 	a.Publisher.Publish(&publisher.View{
-		Live:  []identifier.Instance{"owner"},
-		Peers: map[identifier.Instance]string{"owner": address},
+		Live:     []identifier.Instance{"owner"},
+		Eligible: []identifier.Instance{"owner"},
+		Peers:    map[identifier.Instance]string{"owner": address},
 	})
 	a.Dialer = &dialer.Dialer{}
 	a.Granter = granter.New(loop)
--- a/router/assigner/assigner.go
+++ b/router/assigner/assigner.go
@@ -7,13 +7,42 @@
 	"heatherhold.dev/core/identifier"
 )
 
-// Owner returns the live instance with the highest hash for the pool (rendezvous
-// hashing), and false if there is no live instance. When an instance joins or
-// leaves, only the pools that it owns change owner.
-func Owner(pool identifier.Service, live []identifier.Instance) (identifier.Instance, bool) {
+// Candidate is a live instance that may own pools.
+type Candidate struct {
+	Instance identifier.Instance
+	// Processor is the processor time that the instance may use, in thousandths of a
+	// core; 0 if it is not known.
+	Processor uint32
+}
+
+// strongestShare is the least share of the strongest candidate's processor time that
+// an owner has. An owner's work does not depend on its own strength: on a weak
+// instance it would use up the processor time and hold up every entry.
+const strongestShare = 0.5
+
+// Eligible returns the candidates that may own pools, in the order in which they are
+// given: those that are about as strong as the strongest.
+func Eligible(candidates []Candidate) []identifier.Instance {
+	var strongest uint32
+	for _, c := range candidates {
+		strongest = max(strongest, c.Processor)
+	}
+	var out []identifier.Instance
+	for _, c := range candidates {
+		if float64(c.Processor) >= strongestShare*float64(strongest) {
+			out = append(out, c.Instance)
+		}
+	}
+	return out
+}
+
+// Owner returns the instance with the highest hash for the pool (rendezvous
+// hashing), and false if there is no instance. When an instance joins or leaves,
+// only the pools that it owns change owner.
+func Owner(pool identifier.Service, eligible []identifier.Instance) (identifier.Instance, bool) {
 	var owner identifier.Instance
 	var highest uint64
-	for _, i := range live {
+	for _, i := range eligible {
 		h := xxhash.Sum64String(string(pool) + "\x00" + string(i))
 		if owner == "" || h > highest || (h == highest && i > owner) {
 			owner, highest = i, h
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -89,6 +89,7 @@
 				Address:     s.Listen.Peer,
 				Site:        string(s.Site),
 				Incarnation: uint64(now.UnixNano()),
+				Processor:   processorOf(s),
 			},
 			Term:      s.Peer.Term.Std(),
 			StartedAt: now,
@@ -98,6 +99,18 @@
 	}
 }
 
+// milliPerCore is the number of thousandths of a core in a core.
+const milliPerCore = 1000
+
+// processorOf returns the processor time that the settings grant the instance, in
+// thousandths of a core; 0 if they don't say.
+func processorOf(s *loader.Settings) uint32 {
+	if s.Store == nil {
+		return 0
+	}
+	return uint32(math.Round(s.Store.ProcessorShare * s.Store.ProcessorSpeed * milliPerCore))
+}
+
 // unknownRevision stands for a peer's revision that is not known yet; a request
 // with it carries no changes.
 const unknownRevision = identifier.Revision(math.MaxUint64)
@@ -333,6 +346,7 @@
 		Address:     old.GetAddress(),
 		Site:        old.GetSite(),
 		Incarnation: old.GetIncarnation(),
+		Processor:   old.GetProcessor(),
 		Leaving:     leaving,
 		Gone:        gone,
 	}
--- a/router/controller/platform.go
+++ b/router/controller/platform.go
@@ -53,6 +53,7 @@
 		Incarnation: c.incarnation,
 		DataCentre:  string(c.Settings.DataCentre),
 		Site:        string(c.Settings.Site),
+		Processor:   processorOf(c.Settings),
 	}
 }
 
@@ -66,6 +67,7 @@
 				Site:        l.Site,
 				Incarnation: l.Incarnation,
 				Leaving:     l.Leaving,
+				Processor:   l.Processor,
 			})
 			continue
 		}
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -272,6 +272,7 @@
 			Address:     l.Address,
 			Site:        l.Site,
 			Incarnation: l.Incarnation,
+			Processor:   l.Processor,
 		})
 	}
 	c.Loop.Post(func() {
--- a/router/controller/view.go
+++ b/router/controller/view.go
@@ -7,6 +7,7 @@
 	"heatherhold.dev/core/declarer"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/assigner"
 	"heatherhold.dev/router/authenticator"
 	"heatherhold.dev/router/publisher"
 )
@@ -32,6 +33,7 @@
 		Declaration: c.declaration,
 		Index:       c.index,
 		Live:        live,
+		Eligible:    assigner.Eligible(c.state.Candidates()),
 		Peers:       c.peers(),
 		Endpoints:   c.endpoints(),
 		Site:        c.site,
--- a/router/gossiper/members.go
+++ b/router/gossiper/members.go
@@ -1,12 +1,15 @@
 package gossiper
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/assigner"
 )
 
 // removalTerms is how many terms must pass since the last contact with a member,
@@ -98,7 +101,7 @@
 		suspected = true
 	}
 	merged := merge(old.wire, m, suspected)
-	if merged.GetSuspected() != old.wire.GetSuspected() || merged.GetLeaving() != old.wire.GetLeaving() || merged.GetGone() != old.wire.GetGone() || merged.GetAddress() != old.wire.GetAddress() {
+	if merged.GetSuspected() != old.wire.GetSuspected() || merged.GetLeaving() != old.wire.GetLeaving() || merged.GetGone() != old.wire.GetGone() || merged.GetAddress() != old.wire.GetAddress() || merged.GetProcessor() != old.wire.GetProcessor() {
 		old.wire = merged
 		old.lastChanged = now
 		s.changeCount++
@@ -114,6 +117,7 @@
 		Address:     m.GetAddress(),
 		Site:        m.GetSite(),
 		Incarnation: m.GetIncarnation(),
+		Processor:   max(old.GetProcessor(), m.GetProcessor()),
 		Leaving:     old.GetLeaving() || m.GetLeaving(),
 		Gone:        old.GetGone() || m.GetGone(),
 	}
@@ -166,19 +170,40 @@
 	return out
 }
 
-// Live returns the instances that can own pools, this one included, sorted by
-// name: those that are not leaving, gone or suspected.
+// Live returns the live instances, this one included, sorted by name: those that
+// are not leaving, gone or suspected.
 func (s *State) Live() []identifier.Instance {
 	var live []identifier.Instance
+	for _, m := range s.liveMembers() {
+		live = append(live, identifier.Instance(m.GetInstance()))
+	}
+	return live
+}
+
+// Candidates returns the live instances as candidates for the ownership of pools,
+// sorted by name.
+func (s *State) Candidates() []assigner.Candidate {
+	var candidates []assigner.Candidate
+	for _, m := range s.liveMembers() {
+		candidates = append(candidates, assigner.Candidate{
+			Instance:  identifier.Instance(m.GetInstance()),
+			Processor: m.GetProcessor(),
+		})
+	}
+	return candidates
+}
+
+func (s *State) liveMembers() []*messenger.Member {
+	var live []*messenger.Member
 	if !s.Self.GetLeaving() {
-		live = append(live, identifier.Instance(s.Self.GetInstance()))
+		live = append(live, s.Self)
 	}
-	for name, m := range s.members {
+	for _, m := range s.members {
 		if !m.wire.GetSuspected() && !m.wire.GetLeaving() && !m.wire.GetGone() {
-			live = append(live, identifier.Instance(name))
+			live = append(live, m.wire)
 		}
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i] < live[j] })
+	slices.SortFunc(live, func(a, b *messenger.Member) int { return cmp.Compare(a.GetInstance(), b.GetInstance()) })
 	return live
 }
 
--- a/router/gossiper/owner_test.go
+++ b/router/gossiper/owner_test.go
@@ -33,7 +33,7 @@
 	owners := make(map[identifier.Instance]int)
 	for _, n := range w.nodes {
 		if !n.paused {
-			owner, _ := assigner.Owner(pool, n.state.Live())
+			owner, _ := assigner.Owner(pool, assigner.Eligible(n.state.Candidates()))
 			owners[owner]++
 		}
 	}
--- a/router/loader/loader.go
+++ b/router/loader/loader.go
@@ -66,6 +66,10 @@
 	RetryRatio  float64             `toml:"retry-ratio"`
 	RetryBurst  float64             `toml:"retry-burst"`
 	RetryWindow identifier.Duration `toml:"retry-window"`
+	// ProcessorShare is the share of a core that the process may use, and
+	// ProcessorSpeed the speed of that core as a multiple of the usual one.
+	ProcessorShare float64 `toml:"processor-share"`
+	ProcessorSpeed float64 `toml:"processor-speed"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int64 `toml:"memory-mb"`
 }
@@ -211,6 +215,8 @@
 const (
 	minDuration = 10 * time.Millisecond
 	maxNotice   = time.Hour
+	// maxProcessor is the largest share of a core, and the largest speed.
+	maxProcessor = 1024
 )
 
 func (s *Settings) check(file string, data []byte) error {
@@ -260,6 +266,8 @@
 	c.want(s.Store.RetryRatio >= 0, "store.retry-ratio", "want 0 or more, got %v", s.Store.RetryRatio)
 	c.want(s.Store.RetryBurst >= 0, "store.retry-burst", "want 0 or more, got %v", s.Store.RetryBurst)
 	c.between("store.retry-window", s.Store.RetryWindow, 0, time.Hour)
+	c.want(s.Store.ProcessorShare >= 0 && s.Store.ProcessorShare <= maxProcessor, "store.processor-share", "want 0 to %d, got %v", maxProcessor, s.Store.ProcessorShare)
+	c.want(s.Store.ProcessorSpeed >= 0 && s.Store.ProcessorSpeed <= maxProcessor, "store.processor-speed", "want 0 to %d, got %v", maxProcessor, s.Store.ProcessorSpeed)
 	c.want(s.Store.MemoryMB >= 0, "store.memory-mb", "want 0 or more, got %d", s.Store.MemoryMB)
 }
 
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -266,8 +266,9 @@
 		},
 	}
 	v := &publisher.View{
-		Live:  []identifier.Instance{"i1"},
-		Fleet: make(map[identifier.Service][]cataloguer.Endpoint),
+		Live:     []identifier.Instance{"i1"},
+		Eligible: []identifier.Instance{"i1"},
+		Fleet:    make(map[identifier.Service][]cataloguer.Endpoint),
 	}
 	for _, e := range endpoints {
 		v.Fleet["s"] = append(v.Fleet["s"], e.Endpoint)
--- a/router/publisher/publisher.go
+++ b/router/publisher/publisher.go
@@ -24,8 +24,11 @@
 	Revision    identifier.Revision
 	Declaration *declarer.Declaration
 	Index       *authenticator.Index
-	// Live lists the instances that can own pools, in sorted order.
+	// Live lists the instances that are not suspected, leaving or gone, in sorted
+	// order.
 	Live []identifier.Instance
+	// Eligible lists those of the live instances that may own pools.
+	Eligible []identifier.Instance
 	// Peers maps every other known instance to its peer address.
 	Peers map[identifier.Instance]string
 	// Endpoints lists, for each service, the endpoints that are not leaving.
--- a/router/receiver/receiver_test.go
+++ b/router/receiver/receiver_test.go
@@ -55,6 +55,7 @@
 		Revision: 3,
 		Site:     site,
 		Live:     []identifier.Instance{"i1"},
+		Eligible: []identifier.Instance{"i1"},
 	})
 	return &receiver.Receiver{
 		Publisher: p,
