Decide on the messages of a moment together; skip heartbeats that are not needed

Callers would see an owner under load fall behind: each of some 500 asks, 500 releases and 1,000 heartbeats a second made a round of decisions, and a round costs some 0.2 ms while requests wait (BenchmarkMixedTicketSaturated).

Change: rounds of a pool are 2 ms apart or more (at a tick of 10 ms at the latest), a heartbeat is not handled, and none is sent after a message. Ruled out: a slower tick alone, since messages made the rounds.

--- a/router/acquirer/stream.go
+++ b/router/acquirer/stream.go
@@ -15,7 +15,7 @@
 
 const (
 	// heartbeatsPerLimit is the number of heartbeats within the time that a stream
-	// may be without a message.
+	// may be without a message. A message replaces the next heartbeat.
 	heartbeatsPerLimit = 4
 	// standalonePeriod is how long an entry schedules alone before it tries the owner
 	// again.
@@ -72,7 +72,7 @@
 }
 
 func (a *Acquirer) owner(p *pool) (identifier.Instance, bool) {
-	return assigner.Owner(p.service, a.Publisher.View().Live)
+	return assigner.Owner(p.service, a.Publisher.View().Eligible)
 }
 
 // ownerUnchanged returns a function that reports whether the pool's owner is still
@@ -181,15 +181,22 @@
 	}
 	heartbeat := time.NewTicker(a.InactivityTimeout / heartbeatsPerLimit)
 	defer heartbeat.Stop()
+	sent := true
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-p.out.Ready():
+			sent = true
 		case <-heartbeat.C:
 			if !unchanged() {
 				return errOwnerChanged
 			}
+			if sent {
+				// A message since the last heartbeat makes this one unnecessary.
+				sent = false
+				continue
+			}
 		}
 		if err := stream.Send(p.nextMessage()); err != nil {
 			return errors.Wrap(err, "send")
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -26,6 +26,11 @@
 // endpoint state arrives.
 const decideInterval = 10 * time.Millisecond
 
+// minDecideInterval is the shortest time between two rounds of decisions of one pool.
+// While messages arrive faster, one round decides on all that have arrived, so that
+// an owner under load does not search a full pool anew for each message.
+const minDecideInterval = 2 * time.Millisecond
+
 // Key identifies a pool. An entry that cannot reach the owner schedules alone, in
 // a pool of its own with a share of the endpoints' slots.
 type Key struct {
@@ -42,6 +47,9 @@
 	// Lease is how long a remote entry's stream may be without a message, and how long
 	// tickets stay reserved after the end of the stream that holds them.
 	Lease time.Duration
+	// OnRound, if it is set, is called on the control loop after each round of decisions
+	// of a pool, with the time that it took and the number of requests that wait.
+	OnRound func(s identifier.Service, d time.Duration, waiting int)
 	// MarkLeaving is called on the control loop when an endpoint reports that it is
 	// leaving.
 	MarkLeaving func(identifier.EndpointIncarnation)
@@ -72,6 +80,8 @@
 	expiries map[identifier.Request]time.Time
 	sessions map[*Session]bool
 	states   map[identifier.EndpointIncarnation]endpointState
+	// decidedAt is when the last round of decisions was made.
+	decidedAt time.Time
 	// runnersSet is set once the scheduler knows the endpoints; no decision is made
 	// before.
 	runnersSet bool
@@ -203,7 +213,9 @@
 		delete(p.expiries, ask.Request)
 		p.scheduler.Ask(now, ask)
 	}
-	g.decide(now, p)
+	if now.Sub(p.decidedAt) >= minDecideInterval {
+		g.decide(now, p)
+	}
 }
 
 func (p *pool) dropRequest(r identifier.Request) {
@@ -252,6 +264,11 @@
 	if !p.runnersSet {
 		return
 	}
+	p.decidedAt = now
+	if g.OnRound != nil {
+		start := time.Now()
+		defer func() { g.OnRound(p.key.Service, time.Since(start), p.scheduler.Waiting()) }()
+	}
 	batches := make(map[*Session]*messenger.FromOwner)
 	for _, d := range p.scheduler.Decide(now) {
 		session, ok := p.sessionByRequest[d.Request]
--- a/router/granter/serve.go
+++ b/router/granter/serve.go
@@ -78,22 +78,39 @@
 		case received <- struct{}{}:
 		default:
 		}
+		if isHeartbeat(m) {
+			continue
+		}
 		local.Send(m)
 	}
 }
 
-// heartbeatsPerLease is the minimum number of messages that are sent per lease.
+// isHeartbeat reports whether m contains nothing that the owner has to handle.
+func isHeartbeat(m *messenger.ToOwner) bool {
+	return len(m.GetAsks())+len(m.GetCancels())+len(m.GetReleases())+len(m.GetHeld()) == 0
+}
+
+// heartbeatsPerLease is how many heartbeats are sent per lease while there is
+// nothing else to send. A message replaces the next heartbeat, so that there are at
+// least half as many messages per lease.
 const heartbeatsPerLease = 4
 
 func send(ctx context.Context, s Stream, local *LocalStream) error {
 	heartbeat := time.NewTicker(local.granter.Lease / heartbeatsPerLease)
 	defer heartbeat.Stop()
+	sent := false
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-local.Ready():
+			sent = true
 		case <-heartbeat.C:
+			if sent {
+				// A message since the last heartbeat makes this one unnecessary.
+				sent = false
+				continue
+			}
 			if err := s.Send(&messenger.FromOwner{}); err != nil {
 				return errors.Wrap(err, "send heartbeat")
 			}
