Let one instance of each site read the store, and the others read from it

Cause: each instance followed two tables and listed a third by itself, each question held open for 2 s. Ruled out: longer questions alone (a silent connection is then noticed too late), and news by exchanges (a row that left the list has no mark that could be passed on and taken back).

Change: router/sharer. Instances that are about as strong as the strongest of their site are ranked by hash; the first reads the store, the others read from its copy, held open for 0.7 s. An answer says how old its news is, counted from the asking, and when the store last failed; news older than two questions is not passed on, a copy never goes back. Without an answer an instance asks the reader of another site, then the store; in an outage it leaves the store alone for 2 s.

--- a/core/cataloguer/change.go
+++ b/core/cataloguer/change.go
@@ -14,6 +14,9 @@
 	// RequestedAt is when the request for the change was sent: the change includes all
 	// writes that were acknowledged by then.
 	RequestedAt time.Time
+	// FailedAt is when the last failed request to the platform ended, if another
+	// instance that provided the change had one; otherwise it is zero.
+	FailedAt time.Time
 }
 
 // Remove records the removal of a row and discards the value that it had in Set.
--- a/router/assigner/assigner.go
+++ b/router/assigner/assigner.go
@@ -2,14 +2,17 @@
 package assigner
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"heatherhold.dev/core/identifier"
 )
 
-// Candidate is a live instance that may own pools.
+// Candidate is a live instance that may own pools or read the platform's store.
 type Candidate struct {
 	Instance identifier.Instance
+	Site     identifier.Site
 	// Processor is the processor time that the instance may use, in thousandths of a
 	// core; 0 if it is not known.
 	Processor uint32
@@ -50,3 +53,33 @@
 	}
 	return owner, owner != ""
 }
+
+// readerPool is the name under which the reader of a site is chosen.
+const readerPool = identifier.Service("store-reader\x00")
+
+// Readers returns the instances that read the platform's store, one for each site, in
+// the order in which an instance of the given site asks them: its own site's first,
+// the others in an order that differs between sites.
+func Readers(site identifier.Site, candidates []Candidate) []identifier.Instance {
+	bySite := make(map[identifier.Site][]Candidate)
+	for _, c := range candidates {
+		bySite[c.Site] = append(bySite[c.Site], c)
+	}
+	var out []identifier.Instance
+	if own, ok := Owner(readerPool, Eligible(bySite[site])); ok {
+		out = append(out, own)
+	}
+	delete(bySite, site)
+	var others []identifier.Instance
+	for _, list := range bySite {
+		if reader, ok := Owner(readerPool, Eligible(list)); ok {
+			others = append(others, reader)
+		}
+	}
+	for len(others) > 0 {
+		next, _ := Owner(identifier.Service(site), others)
+		out = append(out, next)
+		others = slices.DeleteFunc(others, func(i identifier.Instance) bool { return i == next })
+	}
+	return out
+}
--- a/router/components.go
+++ b/router/components.go
@@ -126,12 +126,13 @@
 	return &dialer.Dialer{TLS: config}, nil
 }
 
-func newGranter(s *loader.Settings, loop *executor.Loop, engine driver.Engine, pub *publisher.Publisher, log logrus.FieldLogger) *granter.Granter {
+func newGranter(s *loader.Settings, loop *executor.Loop, engine driver.Engine, pub *publisher.Publisher, p *reporter.Reporter, log logrus.FieldLogger) *granter.Granter {
 	g := granter.New(loop)
 	g.Engine = engine
 	g.Publisher = pub
 	g.Log = log
 	g.Lease = s.Peer.InactivityTimeout.Std()
+	g.OnRound = p.RecordRound
 	return g
 }
 
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -146,6 +146,9 @@
 // control loop.
 func (c *Controller) applyEndpoints(now time.Time, change cataloguer.Change[cataloguer.Endpoint]) {
 	f := &c.fleet
+	if change.FailedAt.After(f.lastFailure) {
+		f.lastFailure = change.FailedAt
+	}
 	gone := change.Removed
 	if change.Complete {
 		for name := range f.endpoints {
--- a/router/controller/view.go
+++ b/router/controller/view.go
@@ -28,12 +28,14 @@
 		return
 	}
 	c.publishedChangeCount, c.publishedLive = c.state.ChangeCount(), live
+	candidates := c.state.Candidates()
 	c.Publisher.Publish(&publisher.View{
 		Revision:    c.parsedRevision,
 		Declaration: c.declaration,
 		Index:       c.index,
 		Live:        live,
-		Eligible:    assigner.Eligible(c.state.Candidates()),
+		Eligible:    assigner.Eligible(candidates),
+		Readers:     assigner.Readers(c.Settings.Site, candidates),
 		Peers:       c.peers(),
 		Endpoints:   c.endpoints(),
 		Site:        c.site,
--- a/router/dialer/dialer.go
+++ b/router/dialer/dialer.go
@@ -98,32 +98,66 @@
 	c := d.connFor(address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn == nil {
-		conn, err := d.Open(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		c.conn = conn
+	if err := d.connect(ctx, c, address); err != nil {
+		return nil, err
 	}
 	reply, err := messenger.NewDRPCPeerClient(c.conn).Exchange(ctx, r)
 	if err != nil {
-		_ = c.conn.Close()
-		c.conn = nil
+		c.close()
 		return nil, errors.Wrap(err, "exchange state with peer")
 	}
 	return reply, nil
 }
 
-func (d *Dialer) connFor(address string) *peerConn {
+// Read calls a peer over a connection that is kept for its address and the table,
+// because the peer may wait for a change before it replies. Like Exchange, it closes
+// the connection if the call fails.
+func (d *Dialer) Read(ctx context.Context, address string, r *messenger.ReadRequest) (*messenger.ReadReply, error) {
+	c := d.connFor(address + "/" + r.GetTable())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := d.connect(ctx, c, address); err != nil {
+		return nil, err
+	}
+	reply, err := messenger.NewDRPCPeerClient(c.conn).Read(ctx, r)
+	if err != nil {
+		c.close()
+		return nil, errors.Wrap(err, "read table from peer")
+	}
+	return reply, nil
+}
+
+// connect dials the address unless c is connected. The caller holds c.mu.
+func (d *Dialer) connect(ctx context.Context, c *peerConn, address string) error {
+	if c.conn != nil {
+		return nil
+	}
+	conn, err := d.Open(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.conn = conn
+	return nil
+}
+
+// close closes the connection, whatever state it is in. The caller holds c.mu.
+func (c *peerConn) close() {
+	_ = c.conn.Close()
+	c.conn = nil
+}
+
+// connFor returns the connection that is kept for a key, which contains the address
+// and what the connection is for.
+func (d *Dialer) connFor(key string) *peerConn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.conns == nil {
 		d.conns = make(map[string]*peerConn)
 	}
-	c, ok := d.conns[address]
+	c, ok := d.conns[key]
 	if !ok {
 		c = &peerConn{}
-		d.conns[address] = c
+		d.conns[key] = c
 	}
 	return c
 }
--- a/router/gossiper/members.go
+++ b/router/gossiper/members.go
@@ -187,6 +187,7 @@
 	for _, m := range s.liveMembers() {
 		candidates = append(candidates, assigner.Candidate{
 			Instance:  identifier.Instance(m.GetInstance()),
+			Site:      identifier.Site(m.GetSite()),
 			Processor: m.GetProcessor(),
 		})
 	}
--- a/router/publisher/publisher.go
+++ b/router/publisher/publisher.go
@@ -29,6 +29,9 @@
 	Live []identifier.Instance
 	// Eligible lists those of the live instances that may own pools.
 	Eligible []identifier.Instance
+	// Readers lists the instances that read the platform's store for the others, in the
+	// order in which this instance asks them; the first is the one of its own site.
+	Readers []identifier.Instance
 	// Peers maps every other known instance to its peer address.
 	Peers map[identifier.Instance]string
 	// Endpoints lists, for each service, the endpoints that are not leaving.
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -115,6 +115,23 @@
 	r.set.GetOrCreateHistogram(fmt.Sprintf(`heatherhold_store_call_seconds{call=%q}`, name)).Update(d.Seconds())
 }
 
+// RecordRound records a round of decisions of a pool that this instance owns: the time
+// that it took, and the number of requests that wait after it.
+func (r *Reporter) RecordRound(s identifier.Service, d time.Duration, waiting int) {
+	r.recordSeconds("heatherhold_owner_round_seconds", s, d)
+	r.set.GetOrCreateGauge(fmt.Sprintf(`heatherhold_owner_waiting{service=%q}`, s), nil).Set(float64(waiting))
+}
+
+// CountRead counts a read of a table of the platform's store by its source: "store", or
+// "instance" for another instance's copy.
+func (r *Reporter) CountRead(table, source string, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_table_reads_total{table=%q,source=%q,outcome=%q}`, table, source, outcome)).Inc()
+}
+
 // CountExchange counts an exchange with another instance by its outcome.
 func (r *Reporter) CountExchange(err error) {
 	outcome := "ok"
--- a/router/run.go
+++ b/router/run.go
@@ -25,6 +25,7 @@
 	"heatherhold.dev/router/loader"
 	"heatherhold.dev/router/publisher"
 	"heatherhold.dev/router/server"
+	"heatherhold.dev/router/sharer"
 )
 
 const (
@@ -88,7 +89,7 @@
 	d.group.Go(func() error { return p.Granter.Run(ctx) })
 	d.group.Go(func() error { return p.Acquirer.Run(ctx) })
 	d.group.Go(func() error { return p.Claimer.Run(ctx) })
-	d.group.Go(func() error { return servePeers(ctx, listeners.peer, p.Controller, p.Granter) })
+	d.group.Go(func() error { return servePeers(ctx, listeners.peer, p.Controller, p.Granter, nil) })
 	d.group.Go(func() error { return serveHTTP(ctx, d.caller, listeners.caller) })
 	d.group.Go(func() error { return serveHTTP(ctx, operator, listeners.operator) })
 	d.group.Go(func() error { return shutDownOnFailure(ctx, p.Log, shutdowner) })
@@ -180,11 +181,12 @@
 }
 
 // servePeers serves requests of the other instances until ctx ends.
-func servePeers(ctx context.Context, l net.Listener, c *controller.Controller, g *granter.Granter) error {
+func servePeers(ctx context.Context, l net.Listener, c *controller.Controller, g *granter.Granter, sh *sharer.Sharer) error {
 	mux := drpcmux.New()
 	err := messenger.DRPCRegisterPeer(mux, &peerService{
 		controller: c,
 		granter:    g,
+		sharer:     sh,
 	})
 	if err != nil {
 		return errors.Wrap(err, "register peer service")
@@ -196,6 +198,8 @@
 type peerService struct {
 	controller *controller.Controller
 	granter    *granter.Granter
+	// sharer is nil on platforms without a store.
+	sharer *sharer.Sharer
 }
 
 // Tickets serves the ticket stream of another instance; this instance is the owner
@@ -209,6 +213,14 @@
 	return p.controller.HandleExchange(ctx, r)
 }
 
+// Read returns what this instance knows of a table of the platform's store.
+func (p *peerService) Read(ctx context.Context, r *messenger.ReadRequest) (*messenger.ReadReply, error) {
+	if p.sharer == nil {
+		return &messenger.ReadReply{Unavailable: true}, nil
+	}
+	return p.sharer.Handle(ctx, r), nil
+}
+
 // stop performs a planned stop. It cuts off no request that finishes within
 // Stop.Finish.
 func (d *daemon) stop(ctx context.Context) error {
--- /dev/null
+++ b/router/sharer/chooser.go
@@ -0,0 +1,104 @@
+package sharer
+
+import (
+	"time"
+
+	"heatherhold.dev/core/identifier"
+)
+
+const (
+	// unavailablePause is how long an instance is not asked after it said that it has
+	// no recent copy.
+	unavailablePause = time.Second
+	// silentPause is how long an instance is not asked after it did not answer. It
+	// doubles with each further time, up to maxSilentPause.
+	silentPause    = time.Second
+	maxSilentPause = 8 * time.Second
+	// storePause is how long an instance that is not a reader leaves the store alone
+	// after a call failed, so that an outage is not answered by calls of them all.
+	storePause = 2 * time.Second
+	// maxSilent is how many instances in a row may be silent before the store is asked:
+	// then the fault may be this instance's own connection to its peers.
+	maxSilent = 2
+)
+
+// Chooser decides which source of a table to read next. It does no I/O and reads no
+// clock. The zero value is usable.
+type Chooser struct {
+	pauses map[identifier.Instance]pause
+	// storePausedUntil is when an instance that is not a reader may ask the store.
+	storePausedUntil time.Time
+	// silent is the number of instances in a row that did not answer.
+	silent int
+}
+
+// pause is why an instance is not asked.
+type pause struct {
+	until time.Time
+	// silent is how many times in a row it did not answer.
+	silent int
+}
+
+// Choose returns the source to read next: an instance, or "" for the store. readers
+// are the instances that read the store, in the order in which self is to ask them;
+// the first reads the store for self's data centre. A reader whose call to the store
+// failed asks the others too, since the store may turn away some instances only.
+// Choose returns false if it is too soon to try any source again.
+func (c *Chooser) Choose(now time.Time, self identifier.Instance, readers []identifier.Instance) (identifier.Instance, bool) {
+	isReader := len(readers) == 0 || readers[0] == self
+	storePaused := now.Before(c.storePausedUntil)
+	if !storePaused && (isReader || c.silent >= maxSilent) {
+		return "", true
+	}
+	for _, r := range readers {
+		if r != self && !now.Before(c.pauses[r].until) {
+			return r, true
+		}
+	}
+	return "", isReader || !storePaused
+}
+
+// Succeeded records that a source has answered with news; "" is the store.
+func (c *Chooser) Succeeded(source identifier.Instance) {
+	c.silent = 0
+	if source == "" {
+		c.storePausedUntil = time.Time{}
+		return
+	}
+	delete(c.pauses, source)
+}
+
+// Unavailable records that an instance has no recent copy.
+func (c *Chooser) Unavailable(now time.Time, source identifier.Instance) {
+	c.silent = 0
+	c.set(now, source, pause{until: now.Add(unavailablePause)})
+}
+
+// Silent records that an instance did not answer.
+func (c *Chooser) Silent(now time.Time, source identifier.Instance) {
+	c.silent++
+	n := c.pauses[source].silent
+	c.set(now, source, pause{
+		until:  now.Add(min(silentPause<<min(n, 3), maxSilentPause)),
+		silent: n + 1,
+	})
+}
+
+// StoreFailed records that a call to the store failed.
+func (c *Chooser) StoreFailed(now time.Time) {
+	c.silent = 0
+	c.storePausedUntil = now.Add(storePause)
+}
+
+// set sets the pause of a source, and forgets those that ended long ago.
+func (c *Chooser) set(now time.Time, source identifier.Instance, p pause) {
+	if c.pauses == nil {
+		c.pauses = make(map[identifier.Instance]pause)
+	}
+	for other, old := range c.pauses {
+		if now.Sub(old.until) > maxSilentPause {
+			delete(c.pauses, other)
+		}
+	}
+	c.pauses[source] = p
+}
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,7 @@
 	"heatherhold.dev/router/reconciler"
 	"heatherhold.dev/router/reporter"
 	"heatherhold.dev/router/scheduler"
+	"heatherhold.dev/router/sharer"
 )
 
 // Tables and keys in the platform's store that the router itself writes.
@@ -65,6 +67,7 @@
 		newAcquirer,
 		newReporter,
 		newStore,
+		newSharer,
 		newExchanger,
 		newOrderer,
 		newProxier,
@@ -83,6 +86,26 @@
 	}
 }
 
+// newSharer returns the sharer of the tables that all instances follow. While the store
+// holds a reader's question, the reader's news is as old as the question before it, so
+// that news of two questions is still passed on.
+func newSharer(s *loader.Settings, store *storer.Client, d *dialer.Dialer, pub *publisher.Publisher, p *reporter.Reporter, log logrus.FieldLogger) *sharer.Sharer {
+	pollAge := 2*s.Store.PollTimeout.Std() + s.Platform.Timeout.Std()
+	return &sharer.Sharer{
+		Self:      s.Instance,
+		Store:     store,
+		Peers:     d,
+		Publisher: pub,
+		MaxAge: map[string]time.Duration{
+			translator.ConfigurationTable: pollAge,
+			translator.EndpointsTable:     pollAge,
+			instancesTable:                2 * s.Platform.ListInterval.Std(),
+		},
+		OnRead: p.CountRead,
+		Log:    log,
+	}
+}
+
 func newExchanger(p *reporter.Reporter) *exchanger.Exchanger {
 	return &exchanger.Exchanger{
 		DialTimeout:  endpointDialTimeout,
@@ -159,9 +182,21 @@
 	}
 }
 
+// boolValue returns 1 for true.
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // registerGauges registers the metrics whose values are read when metrics are
 // written.
-func registerGauges(p *reporter.Reporter, pub *publisher.Publisher, r *receiver.Receiver, w *logger.Writer) {
+func registerGauges(p *reporter.Reporter, pub *publisher.Publisher, r *receiver.Receiver, sh *sharer.Sharer, w *logger.Writer) {
+	for _, table := range []string{translator.ConfigurationTable, translator.EndpointsTable} {
+		p.Gauge(fmt.Sprintf(`heatherhold_news_age_seconds{table=%q}`, table), func() float64 { return sh.Age(table).Seconds() })
+		p.Gauge(fmt.Sprintf(`heatherhold_reads_store{table=%q}`, table), func() float64 { return boolValue(sh.Source(table) == "") })
+	}
 	p.Gauge("heatherhold_active_requests", func() float64 { return float64(r.Active()) })
 	p.Gauge("heatherhold_revision", func() float64 { return float64(pub.View().Revision) })
 	p.Gauge("heatherhold_live_instances", func() float64 { return float64(len(pub.View().Live)) })
@@ -172,21 +207,21 @@
 
 // wireStoreController sets the dependencies of a controller on a platform that has
 // a store, and the granter's callbacks.
-func wireStoreController(s *loader.Settings, c *controller.Controller, store *storer.Client, d *dialer.Dialer, pub *publisher.Publisher, g *granter.Granter, p *reporter.Reporter, log logrus.FieldLogger) {
+func wireStoreController(s *loader.Settings, c *controller.Controller, store *storer.Client, sh *sharer.Sharer, d *dialer.Dialer, pub *publisher.Publisher, g *granter.Granter, p *reporter.Reporter, log logrus.FieldLogger) {
 	c.Dialer = d
 	c.Publisher = pub
 	c.Granter = g
 	c.Log = log
 	c.Source = &controller.Source{
 		Configurations: &subscriber.Subscriber[controller.StoredConfiguration]{
-			Store:        store,
+			Store:        sh,
 			Table:        translator.ConfigurationTable,
 			LongPollWait: s.Store.PollTimeout.Std(),
 			Decode:       decodeConfiguration,
 			Log:          log,
 		},
 		Endpoints: &subscriber.Subscriber[cataloguer.Endpoint]{
-			Store:        store,
+			Store:        sh,
 			Table:        translator.EndpointsTable,
 			LongPollWait: s.Store.PollTimeout.Std(),
 			MinInterval:  s.Store.MinPollInterval.Std(),
@@ -194,9 +229,10 @@
 			Log:          log,
 		},
 		Registry: &registrar.Registrar{
-			Store: store,
-			Table: instancesTable,
-			Log:   log,
+			Store:  store,
+			Copies: sh,
+			Table:  instancesTable,
+			Log:    log,
 		},
 		Decode:            translator.Configuration,
 		Seeds:             s.Store.Seeds,
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -30,6 +30,7 @@
 	"heatherhold.dev/router/receiver"
 	"heatherhold.dev/router/reconciler"
 	"heatherhold.dev/router/reporter"
+	"heatherhold.dev/router/sharer"
 )
 
 const (
@@ -60,6 +61,7 @@
 	Proxier    *proxier.Proxier
 	Exchanger  *exchanger.Exchanger
 	Reconciler *reconciler.Reconciler
+	Sharer     *sharer.Sharer
 	Reporter   *reporter.Reporter
 }
 
@@ -165,7 +167,7 @@
 	s.spawn("granter", func() error { return p.Granter.Run(ctx) })
 	s.spawn("acquirer", func() error { return p.Acquirer.Run(ctx) })
 	s.spawn("conductor", func() error { return p.Reconciler.Run(ctx) })
-	s.spawn("peers", func() error { return servePeers(ctx, peers, p.Controller, p.Granter) })
+	s.spawn("peers", func() error { return servePeers(ctx, peers, p.Controller, p.Granter, p.Sharer) })
 	s.spawn("relayer", func() error { return p.Proxier.Watch(ctx) })
 	s.spawn("sweeper", func() error { return s.sweepConnections(ctx) })
 	s.spawn("signals", func() error { return s.checkSettingsOnHangup(ctx) })
