Let the pool's owner alone ask for the placement lease, others in their turn

Operators saw: while an endpoint without layers is listed, all instances ask the store for the lease twice a second each.

Cause: each instance compares the fleet with the plan and asks at once. Change: the pool's owner asks at once; of the others that may own the pool each waits 3 s longer than the one before it, as long as the plan has orders that are not sent. TestAllInstancesAskForLease: 9, 60, 195 instances asked within 8 s before, 3 now; TestNobodyPlacesWithoutOwner: the next in line places if the owner does not reach the store.

--- a/router/assigner/assigner.go
+++ b/router/assigner/assigner.go
@@ -46,7 +46,7 @@
 	var owner identifier.Instance
 	var highest uint64
 	for _, i := range eligible {
-		h := xxhash.Sum64String(string(pool) + "\x00" + string(i))
+		h := hash(pool, i)
 		if owner == "" || h > highest || (h == highest && i > owner) {
 			owner, highest = i, h
 		}
@@ -54,6 +54,27 @@
 	return owner, owner != ""
 }
 
+// Rank returns how many of the eligible instances come before i for a pool: 0 for its
+// owner, 1 for the instance that would own it without the owner. It returns false if
+// i is not eligible.
+func Rank(pool identifier.Service, eligible []identifier.Instance, i identifier.Instance) (int, bool) {
+	if !slices.Contains(eligible, i) {
+		return 0, false
+	}
+	own := hash(pool, i)
+	rank := 0
+	for _, other := range eligible {
+		if h := hash(pool, other); h > own || (h == own && other > i) {
+			rank++
+		}
+	}
+	return rank, true
+}
+
+func hash(pool identifier.Service, i identifier.Instance) uint64 {
+	return xxhash.Sum64String(string(pool) + "\x00" + string(i))
+}
+
 // readerPool is the name under which the reader of a site is chosen.
 const readerPool = identifier.Service("store-reader\x00")
 
--- a/router/reconciler/rebalance.go
+++ b/router/reconciler/rebalance.go
@@ -7,6 +7,7 @@
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/placer"
+	"heatherhold.dev/router/publisher"
 )
 
 // moveTimeout is how long an endpoint may take to change its layers before another
@@ -36,13 +37,17 @@
 
 // rebalance moves one endpoint of a service at a time, as placer.Rebalance proposes, to
 // cover layers that no endpoint of its group of data centres holds.
-func (r *Reconciler) rebalance(ctx context.Context, s identifier.Service, e *cataloguer.Engine, fleet []cataloguer.Endpoint) {
+func (r *Reconciler) rebalance(ctx context.Context, v *publisher.View, s identifier.Service, e *cataloguer.Engine, fleet []cataloguer.Endpoint) {
 	if current, ok := r.pendingMoves[s]; ok && !current.finished(fleet) {
 		return
 	}
 	delete(r.pendingMoves, s)
 	move, ok := placer.Rebalance(e, fleet)
-	if !ok || !r.holdLease(ctx) {
+	if !ok {
+		delete(r.plannedSince, s)
+		return
+	}
+	if !r.takesPart(v, s) || !r.holdLease(ctx) {
 		return
 	}
 	r.pendingMoves[s] = pendingMove{
--- a/router/reconciler/reconciler.go
+++ b/router/reconciler/reconciler.go
@@ -15,6 +15,7 @@
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/assigner"
 	"heatherhold.dev/router/placer"
 	"heatherhold.dev/router/publisher"
 )
@@ -49,6 +50,7 @@
 // Reconciler plans placements and sends the orders for them. Set the exported fields
 // before Run.
 type Reconciler struct {
+	Self      identifier.Instance
 	Publisher *publisher.Publisher
 	Lease     Lease
 	Orderer   Orderer
@@ -65,6 +67,9 @@
 	// fleetSizes has, for each service, the number of its endpoints and the time
 	// since which it is unchanged. It is updated only while no endpoint holds layers.
 	fleetSizes map[identifier.Service]fleetSize
+	// plannedSince has, for each service, since when its plan has had orders that are
+	// not sent.
+	plannedSince map[identifier.Service]time.Time
 	// pendingMoves has, for each service, the move that is in progress.
 	pendingMoves map[identifier.Service]pendingMove
 }
@@ -86,6 +91,7 @@
 func (r *Reconciler) Run(ctx context.Context) error {
 	r.recentOrders = make(map[identifier.EndpointIncarnation]plannedOrder)
 	r.fleetSizes = make(map[identifier.Service]fleetSize)
+	r.plannedSince = make(map[identifier.Service]time.Time)
 	r.pendingMoves = make(map[identifier.Service]pendingMove)
 	t := time.NewTicker(reconcileInterval)
 	defer t.Stop()
@@ -116,10 +122,12 @@
 		}
 		plan := placer.Plan(s.Engine, fleet)
 		if len(plan) > 0 {
-			r.applyPlan(ctx, fleet, plan)
+			if r.takesPart(v, name) {
+				r.applyPlan(ctx, fleet, plan)
+			}
 			continue
 		}
-		r.rebalance(ctx, name, s.Engine, fleet)
+		r.rebalance(ctx, v, name, s.Engine, fleet)
 	}
 }
 
@@ -140,6 +148,25 @@
 	return time.Since(last.since) >= stableTime
 }
 
+// standbyDelay is how long a plan must have orders that are not sent before the next
+// instance in line asks for the lease.
+const standbyDelay = 3 * time.Second
+
+// takesPart reports whether this instance may ask for the lease to send the orders of
+// a plan: the owner of the service's pool at once, each other that may own it once
+// those before it in line have had standbyDelay each. If all instances asked, their
+// calls to the store would grow with the fleet.
+func (r *Reconciler) takesPart(v *publisher.View, s identifier.Service) bool {
+	now := time.Now()
+	since, ok := r.plannedSince[s]
+	if !ok {
+		since = now
+		r.plannedSince[s] = now
+	}
+	rank, ok := assigner.Rank(s, v.Eligible, r.Self)
+	return ok && now.Sub(since) >= time.Duration(rank)*standbyDelay
+}
+
 // expireOrders drops the orders whose effect the endpoint list must show by now, and
 // with them those to endpoints that are gone.
 func (r *Reconciler) expireOrders() {
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -168,6 +168,7 @@
 
 func newReconciler(s *loader.Settings, pub *publisher.Publisher, store *storer.Client, orders *orderer.Client, p *reporter.Reporter, log logrus.FieldLogger) *reconciler.Reconciler {
 	return &reconciler.Reconciler{
+		Self:      s.Instance,
 		Publisher: pub,
 		Lease: &leaser.Lease{
 			Store:  store,
