Close the session of a ticket stream whose opening was cancelled

Callers would see a router end, and with it all its streams: where an entry's call was cancelled while its stream was being opened, the stream came back without a session, and its Close failed on the control loop; cancelled a moment later, the session stayed open and kept its pool for ever. A message handled after Close was granted a ticket that nobody held.

Cause: Open checked ctx on the loop and returned what it got, with a nil error. Change: the stream is filled on the loop and closed on it where Open fails; a message of a closed session is dropped. TestCancelledOpenLeaksSession and TestGrantAfterClose fail without it.

--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -192,6 +192,11 @@
 // handleMessage processes an entry's message. It runs on the control loop.
 func (g *Granter) handleMessage(now time.Time, session *Session, m *messenger.ToOwner) {
 	p := session.pool
+	if !p.sessions[session] {
+		// The stream was closed before the message was handled: nobody would receive
+		// what is granted.
+		return
+	}
 	g.refresh(p)
 	for _, h := range m.GetHeld() {
 		ticket := activeTicketOf(h)
--- a/router/granter/serve.go
+++ b/router/granter/serve.go
@@ -12,7 +12,6 @@
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
-	"heatherhold.dev/router/executor"
 	"heatherhold.dev/router/scheduler"
 )
 
@@ -143,6 +142,7 @@
 // LocalStream is an entry's stream to a pool of the same process.
 type LocalStream struct {
 	granter *Granter
+	// session is set on the control loop, before Open returns the stream.
 	session *Session
 }
 
@@ -153,17 +153,13 @@
 	if err := g.awaitConfiguration(ctx); err != nil {
 		return nil, err
 	}
-	session, err := executor.Get(ctx, g.Loop, func() *Session {
-		if ctx.Err() != nil {
-			// The caller has returned and would never close the session.
-			return nil
-		}
-		return g.openSession(key)
-	})
-	return &LocalStream{
-		granter: g,
-		session: session,
-	}, errors.Wrap(err, "open pool")
+	l := &LocalStream{granter: g}
+	if err := g.Loop.Do(ctx, func() { l.session = g.openSession(key) }); err != nil {
+		// The session may be open, or still be opened before the loop closes it.
+		l.Close()
+		return nil, errors.Wrap(err, "open pool")
+	}
+	return l, nil
 }
 
 // awaitConfiguration waits until a configuration is in force. It returns
