Let an instance refute that it is suspected, and send the newest news first

Callers would see, on a fleet of many instances, entries that ask different owners, which give out the same memory: for twice a term after an owner was lost, and without end once one that was only silent was back.

Cause: a suspicion ended only at the instances that the suspected one itself spoke to, and they took it up again from others' reports; of more than 32 recent changes a message had a random sample, so that after a start of the whole fleet a loss spread slowly. Ruled out: the hash (the views of who is live differed).

Change: an instance that learns that it is suspected raises its count of refutations, which replaces reports with a lower count wherever it arrives, and tells peers at once; a message has the 16 newest changes and a sample of the rest.

--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -271,12 +271,12 @@
 }
 
 // update calls change to modify the state, requests a push to peers if there is
-// a new revision or mark, and publishes the state. It runs on the control loop.
+// a new revision or mark, or this instance refuted a suspicion, and publishes the state. It runs on the control loop.
 func (c *Controller) update(change func(now time.Time)) {
 	now := time.Now()
-	revision, marks := c.state.Revision(), len(c.state.Marks())
+	revision, marks, self := c.state.Revision(), len(c.state.Marks()), c.state.Self
 	change(now)
-	if c.state.Revision() != revision || len(c.state.Marks()) != marks {
+	if c.state.Revision() != revision || len(c.state.Marks()) != marks || c.state.Self != self {
 		c.requestPush()
 	}
 	c.publish()
@@ -347,6 +347,7 @@
 		Site:        old.GetSite(),
 		Incarnation: old.GetIncarnation(),
 		Processor:   old.GetProcessor(),
+		Refutations: old.GetRefutations(),
 		Leaving:     leaving,
 		Gone:        gone,
 	}
--- a/router/gossiper/gossiper.go
+++ b/router/gossiper/gossiper.go
@@ -32,9 +32,12 @@
 	changeLogLimit = 4096
 	// memberSendPeriod is how long after a change a member is sent to every peer.
 	memberSendPeriod = 30 * time.Second
-	// recentLimit is how many recently changed members one message includes, and
-	// sampleLimit how many of the others.
+	// recentLimit is how many recently changed members one message includes: the
+	// newestLimit newest ones, so that a loss spreads at once also after a start of the
+	// whole fleet, and a sample of the rest. sampleLimit is how many of the others it
+	// includes.
 	recentLimit = 32
+	newestLimit = 16
 	sampleLimit = 4
 	// markSendPeriod is how long after it is made a mark is sent to every peer.
 	markSendPeriod = 30 * time.Second
--- a/router/gossiper/members.go
+++ b/router/gossiper/members.go
@@ -39,7 +39,11 @@
 // member sent it itself.
 func (s *State) recordMember(now time.Time, m *messenger.Member, direct bool) {
 	name := m.GetInstance()
-	if name == "" || name == s.Self.GetInstance() {
+	if name == s.Self.GetInstance() {
+		s.refute(m)
+		return
+	}
+	if name == "" {
 		return
 	}
 	old, ok := s.members[name]
@@ -69,6 +73,18 @@
 	}
 }
 
+// refute answers a report that this instance is suspected: the count of refutations
+// rises, and the other instances pass the higher count on to each other. Without it a
+// suspicion would end only at those that this instance itself exchanges with, and they
+// would take it up again from the others.
+func (s *State) refute(report *messenger.Member) {
+	if !report.GetSuspected() || report.GetIncarnation() != s.Self.GetIncarnation() || report.GetRefutations() < s.Self.GetRefutations() {
+		return
+	}
+	s.Self = merge(s.Self, s.Self, false)
+	s.Self.Refutations = report.GetRefutations() + 1
+}
+
 // Suspect records that a member did not reply. The suspicion is sent to other
 // instances and ends when a message from the member itself arrives.
 func (s *State) Suspect(now time.Time, name string) {
@@ -94,14 +110,18 @@
 
 // updateMember merges a report about the incarnation that is already recorded.
 func (s *State) updateMember(now time.Time, old *member, m *messenger.Member, direct bool) {
-	suspected := old.wire.GetSuspected() && !direct
+	if m.GetRefutations() < old.wire.GetRefutations() {
+		return
+	}
+	refuted := m.GetRefutations() > old.wire.GetRefutations()
+	suspected := old.wire.GetSuspected() && !direct && !refuted
 	// A report by another instance makes a member suspected only if the member
 	// has not sent a message recently.
 	if m.GetSuspected() && !direct && now.Sub(old.lastContact) > s.Term/suspicionGraceDivisor {
 		suspected = true
 	}
 	merged := merge(old.wire, m, suspected)
-	if merged.GetSuspected() != old.wire.GetSuspected() || merged.GetLeaving() != old.wire.GetLeaving() || merged.GetGone() != old.wire.GetGone() || merged.GetAddress() != old.wire.GetAddress() || merged.GetProcessor() != old.wire.GetProcessor() {
+	if merged.GetSuspected() != old.wire.GetSuspected() || merged.GetLeaving() != old.wire.GetLeaving() || merged.GetGone() != old.wire.GetGone() || merged.GetAddress() != old.wire.GetAddress() || merged.GetProcessor() != old.wire.GetProcessor() || refuted {
 		old.wire = merged
 		old.lastChanged = now
 		s.changeCount++
@@ -118,6 +138,7 @@
 		Site:        m.GetSite(),
 		Incarnation: m.GetIncarnation(),
 		Processor:   max(old.GetProcessor(), m.GetProcessor()),
+		Refutations: max(old.GetRefutations(), m.GetRefutations()),
 		Leaving:     old.GetLeaving() || m.GetLeaving(),
 		Gone:        old.GetGone() || m.GetGone(),
 	}
@@ -208,19 +229,30 @@
 	return live
 }
 
-// membersToSend returns the members to include in a message: those that changed
-// within the last memberSendPeriod, at most recentLimit of them, and a random
-// sample of the others, at most sampleLimit.
+// membersToSend returns the members to include in a message: of those that changed
+// within the last memberSendPeriod the newest and a random sample, and a random sample
+// of the others.
 func (s *State) membersToSend(now time.Time) []*messenger.Member {
-	var recent, others []*messenger.Member
+	var recent []*member
+	var others []*messenger.Member
 	for _, m := range s.members {
 		if now.Sub(m.lastChanged) <= memberSendPeriod {
-			recent = append(recent, m.wire)
+			recent = append(recent, m)
 			continue
 		}
 		others = append(others, m.wire)
 	}
-	return append(sample(recent, recentLimit), sample(others, sampleLimit)...)
+	slices.SortFunc(recent, func(a, b *member) int { return b.lastChanged.Compare(a.lastChanged) })
+	newest := recent[:min(newestLimit, len(recent))]
+	var out, older []*messenger.Member
+	for _, m := range newest {
+		out = append(out, m.wire)
+	}
+	for _, m := range recent[len(newest):] {
+		older = append(older, m.wire)
+	}
+	out = append(out, sample(older, recentLimit-newestLimit)...)
+	return append(out, sample(others, sampleLimit)...)
 }
 
 // sample returns at most n members, picked at random.
--- a/router/sharer/fleet_test.go
+++ b/router/sharer/fleet_test.go
@@ -204,27 +204,18 @@
 	return !f.noPeers[a] && !f.noPeers[b]
 }
 
-// row is what an instance knows of a row.
-type row struct {
-	key     string
-	version storer.Version
-}
-
 // follow reads the table and its changes and checks each.
 func (i *instance) follow(ctx context.Context) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := &subscriber.Subscriber[row]{
-		Store:        i.sharer,
+	s := &subscriber.Subscriber[string]{
+		Store:        pageRecorder{instance: i},
 		Table:        tableName,
 		LongPollWait: pollWait,
 		MinInterval:  minInterval,
-		Decode:       func(key string, _ []byte) (row, error) { return row{key: key}, nil },
+		Decode:       func(key string, _ []byte) (string, error) { return key, nil },
 		Log:          log,
 	}
-	// The subscriber gives no versions, so the instance reads pages through it and
-	// records what its store returned.
-	s.Store = pageRecorder{instance: i}
 	for ctx.Err() == nil {
 		change, err := s.Next(ctx)
 		if err != nil {
@@ -235,7 +226,8 @@
 	}
 }
 
-// pageRecorder records the pages that an instance reads.
+// pageRecorder records the pages that an instance reads: the subscriber's changes carry
+// no versions.
 type pageRecorder struct {
 	instance *instance
 }
