--- a/router/reconciler/reconciler_test.go
+++ b/router/reconciler/reconciler_test.go
@@ -29,7 +29,9 @@
 	holder   identifier.Instance
 	expiry   time.Time
 	attempts map[identifier.Instance]int
-	orders   int
+	// reportDelay is how long an endpoint takes to report its state.
+	reportDelay time.Duration
+	orders      int
 }
 
 // lease is one instance's end of the lease.
@@ -61,7 +63,9 @@
 	return nil
 }
 
+// Report returns an endpoint's state after reportDelay.
 func (p *placement) Report(context.Context, string) (director.Report, error) {
+	time.Sleep(p.reportDelay)
 	return director.Report{}, nil
 }
 
@@ -162,3 +166,19 @@
 		}
 	})
 }
+
+// TestOrderAfterLeaseRanOut guards against an order that is given by an instance whose
+// lease ran out while it was paused or waited for the endpoint's state.
+func TestOrderAfterLeaseRanOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlacement()
+		p.reportDelay = leaseTerm + time.Second
+		play(t, p, 1, 4*leaseTerm)
+		if got, want := p.orders, 0; got != want {
+			t.Errorf("orders under a lease that ran out: got %d, want %d", got, want)
+		}
+		if p.attempts[p.holder] == 0 {
+			t.Error("the lease was never held")
+		}
+	})
+}
