--- a/router/sharer/fleet_test.go
+++ b/router/sharer/fleet_test.go
@@ -116,6 +116,8 @@
 	storeDown bool
 	noStore   map[identifier.Instance]bool
 	noPeers   map[identifier.Instance]bool
+	// paused has the instances whose process does not run.
+	paused map[identifier.Instance]bool
 }
 
 // instance is one instance that follows the table.
@@ -138,6 +140,7 @@
 		store:   newFakeStore(),
 		noStore: make(map[identifier.Instance]bool),
 		noPeers: make(map[identifier.Instance]bool),
+		paused:  make(map[identifier.Instance]bool),
 	}
 	var candidates []assigner.Candidate
 	peers := make(map[identifier.Instance]string)
@@ -198,6 +201,22 @@
 	return !f.storeDown && !f.noStore[i]
 }
 
+// resumeCheck is how often a paused instance looks whether it runs again.
+const resumeCheck = 10 * time.Millisecond
+
+// awaitResume returns once the instance is not paused.
+func (f *fleet) awaitResume(i identifier.Instance) {
+	for f.isPaused(i) {
+		time.Sleep(resumeCheck)
+	}
+}
+
+func (f *fleet) isPaused(i identifier.Instance) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.paused[i]
+}
+
 func (f *fleet) connected(a, b identifier.Instance) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -321,7 +340,11 @@
 	return i.callStore(ctx, after, wait, false)
 }
 
+// callStore calls the store. An instance that is paused meanwhile gets the answer
+// when it runs again.
 func (i *instance) callStore(ctx context.Context, after storer.Version, wait time.Duration, whole bool) (storer.Page, error) {
+	defer i.fleet.awaitResume(i.name)
+	i.fleet.awaitResume(i.name)
 	s := i.fleet.store
 	s.mu.Lock()
 	s.calls[i.name]++
@@ -366,8 +389,11 @@
 	return page, s.changed, nil
 }
 
-// Read asks another instance; the connection hangs while either end is cut off.
+// Read asks another instance; the connection hangs while either end is cut off or
+// paused. The request arrives twice; the second reply is lost.
 func (i *instance) Read(ctx context.Context, address string, r *messenger.ReadRequest) (*messenger.ReadReply, error) {
+	defer i.fleet.awaitResume(i.name)
+	i.fleet.awaitResume(i.name)
 	time.Sleep(peerLatency)
 	for _, other := range i.fleet.instances {
 		if string(other.name) != address {
@@ -377,7 +403,10 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
+		i.fleet.awaitResume(other.name)
 		reply := other.sharer.Handle(ctx, r)
+		i.fleet.awaitResume(other.name)
+		other.sharer.Handle(ctx, &messenger.ReadRequest{Table: r.GetTable()})
 		time.Sleep(peerLatency)
 		if ctx.Err() != nil || !i.fleet.connected(i.name, other.name) {
 			<-ctx.Done()
--- a/router/sharer/sharer_test.go
+++ b/router/sharer/sharer_test.go
@@ -33,7 +33,7 @@
 // TestStoreCallsGrowWithInstances guards against a fleet whose calls to the store grow
 // with its instances: without faults only one instance of each site reads the store.
 func TestStoreCallsGrowWithInstances(t *testing.T) {
-	for _, size := range []struct{ instances, sites int }{{9, 3}, {60, 3}, {195, 5}} {
+	for _, size := range []struct{ instances, sites int }{{9, 3}, {60, 3}, {195, 5}, {1700, 12}} {
 		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
 			f := newFleet(size.instances, size.sites)
 			play(t, f, func(t *testing.T) {
@@ -132,7 +132,7 @@
 	for range rapid.IntRange(1, 30).Draw(t, "steps") {
 		out = append(out, fault{
 			after:    time.Duration(rapid.IntRange(0, 2000).Draw(t, "after ms")) * time.Millisecond,
-			kind:     rapid.SampledFrom([]string{"put", "put", "delete", "no store", "no peers", "store", "peers", "down", "up", "drop"}).Draw(t, "kind"),
+			kind:     rapid.SampledFrom([]string{"put", "put", "delete", "no store", "no peers", "store", "peers", "pause", "resume", "down", "up", "drop"}).Draw(t, "kind"),
 			instance: rapid.IntRange(0, instances-1).Draw(t, "instance"),
 			key:      rapid.IntRange(0, 9).Draw(t, "key"),
 		})
@@ -152,6 +152,8 @@
 		f.set(func() { f.noStore[name] = step.kind == "no store" })
 	case "no peers", "peers":
 		f.set(func() { f.noPeers[name] = step.kind == "no peers" })
+	case "pause", "resume":
+		f.set(func() { f.paused[name] = step.kind == "pause" })
 	case "down", "up":
 		f.set(func() { f.storeDown = step.kind == "down" })
 	}
@@ -173,6 +175,7 @@
 			f.set(func() {
 				clear(f.noStore)
 				clear(f.noPeers)
+				clear(f.paused)
 				f.storeDown = false
 			})
 			const bound = 4 * time.Second
