Say more plainly what the shared reads and the peers' calls do; log invalid replies

Found by reading the whole change: two calls of the dialer had the same lines, a query of the reconciler also wrote, a limit of doublings had no name, a pure file read the clock, a comparison of members had to be read twice. A reply that cannot be right was set aside without a line of its own, and one that denied history for a whole table would have been asked for again without a pause.

--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -270,8 +270,9 @@
 	return reply, errors.Wrap(err, "handle exchange")
 }
 
-// update calls change to modify the state, requests a push to peers if there is
-// a new revision or mark, or this instance refuted a suspicion, and publishes the state. It runs on the control loop.
+// update calls change to modify the state, requests a push to peers if there is a new
+// revision or mark or this instance has refuted a suspicion, and publishes the state.
+// It runs on the control loop.
 func (c *Controller) update(change func(now time.Time)) {
 	now := time.Now()
 	revision, marks, self := c.state.Revision(), len(c.state.Marks()), c.state.Self
--- a/router/dialer/dialer.go
+++ b/router/dialer/dialer.go
@@ -95,34 +95,35 @@
 // fails, or the peer does not respond before ctx ends, Exchange closes the
 // connection, and the next call dials a new one.
 func (d *Dialer) Exchange(ctx context.Context, address string, r *messenger.ExchangeRequest) (*messenger.ExchangeReply, error) {
-	c := d.connFor(address)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err := d.connect(ctx, c, address); err != nil {
-		return nil, err
-	}
-	reply, err := messenger.NewDRPCPeerClient(c.conn).Exchange(ctx, r)
-	if err != nil {
-		c.close()
-		return nil, errors.Wrap(err, "exchange state with peer")
-	}
-	return reply, nil
+	reply, err := call(ctx, d, address, address, func(p messenger.DRPCPeerClient) (*messenger.ExchangeReply, error) {
+		return p.Exchange(ctx, r)
+	})
+	return reply, errors.Wrap(err, "exchange state with peer")
 }
 
 // Read calls a peer over a connection that is kept for its address and the table,
 // because the peer may wait for a change before it replies. Like Exchange, it closes
 // the connection if the call fails.
 func (d *Dialer) Read(ctx context.Context, address string, r *messenger.ReadRequest) (*messenger.ReadReply, error) {
-	c := d.connFor(address + "/" + r.GetTable())
+	reply, err := call(ctx, d, address+"/"+r.GetTable(), address, func(p messenger.DRPCPeerClient) (*messenger.ReadReply, error) {
+		return p.Read(ctx, r)
+	})
+	return reply, errors.Wrap(err, "read table from peer")
+}
+
+// call makes one call over the connection that is kept under a key. If the call fails,
+// it closes the connection.
+func call[T any](ctx context.Context, d *Dialer, key, address string, f func(messenger.DRPCPeerClient) (*T, error)) (*T, error) {
+	c := d.connFor(key)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err := d.connect(ctx, c, address); err != nil {
 		return nil, err
 	}
-	reply, err := messenger.NewDRPCPeerClient(c.conn).Read(ctx, r)
+	reply, err := f(messenger.NewDRPCPeerClient(c.conn))
 	if err != nil {
 		c.close()
-		return nil, errors.Wrap(err, "read table from peer")
+		return nil, err
 	}
 	return reply, nil
 }
--- a/router/gossiper/members.go
+++ b/router/gossiper/members.go
@@ -121,13 +121,23 @@
 		suspected = true
 	}
 	merged := merge(old.wire, m, suspected)
-	if merged.GetSuspected() != old.wire.GetSuspected() || merged.GetLeaving() != old.wire.GetLeaving() || merged.GetGone() != old.wire.GetGone() || merged.GetAddress() != old.wire.GetAddress() || merged.GetProcessor() != old.wire.GetProcessor() || refuted {
+	if !sameReport(merged, old.wire) {
 		old.wire = merged
 		old.lastChanged = now
 		s.changeCount++
 	}
 }
 
+// sameReport reports whether two reports about one incarnation say the same.
+func sameReport(a, b *messenger.Member) bool {
+	return a.GetSuspected() == b.GetSuspected() &&
+		a.GetLeaving() == b.GetLeaving() &&
+		a.GetGone() == b.GetGone() &&
+		a.GetAddress() == b.GetAddress() &&
+		a.GetProcessor() == b.GetProcessor() &&
+		a.GetRefutations() == b.GetRefutations()
+}
+
 // merge returns m with the given suspicion. Leaving and gone are final for an
 // incarnation, so they stay set if old has them.
 func merge(old, m *messenger.Member, suspected bool) *messenger.Member {
--- a/router/reconciler/rebalance.go
+++ b/router/reconciler/rebalance.go
@@ -47,6 +47,7 @@
 		delete(r.plannedSince, s)
 		return
 	}
+	r.recordPlan(s)
 	if !r.takesPart(v, s) || !r.holdLease(ctx) {
 		return
 	}
--- a/router/reconciler/reconciler.go
+++ b/router/reconciler/reconciler.go
@@ -122,6 +122,7 @@
 		}
 		plan := placer.Plan(s.Engine, fleet)
 		if len(plan) > 0 {
+			r.recordPlan(name)
 			if r.takesPart(v, name) {
 				r.applyPlan(ctx, fleet, plan)
 			}
@@ -157,14 +158,15 @@
 // those before it in line have had standbyDelay each. If all instances asked, their
 // calls to the store would grow with the fleet.
 func (r *Reconciler) takesPart(v *publisher.View, s identifier.Service) bool {
-	now := time.Now()
-	since, ok := r.plannedSince[s]
-	if !ok {
-		since = now
-		r.plannedSince[s] = now
-	}
 	rank, ok := assigner.Rank(s, v.Eligible, r.Self)
-	return ok && now.Sub(since) >= time.Duration(rank)*standbyDelay
+	return ok && time.Since(r.plannedSince[s]) >= time.Duration(rank)*standbyDelay
+}
+
+// recordPlan records that the plan of a service has orders that are not sent.
+func (r *Reconciler) recordPlan(s identifier.Service) {
+	if _, ok := r.plannedSince[s]; !ok {
+		r.plannedSince[s] = time.Now()
+	}
 }
 
 // expireOrders drops the orders whose effect the endpoint list must show by now, and
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// SetRunners replaces the known state of the pool's endpoints. Streams that an
+// SetRunners replaces the known state of the pool's endpoints; it sorts reports. Streams that an
 // endpoint reports beyond the pool's own tickets count as streams of another owner.
 func (p *Pool) SetRunners(reports []Report) {
 	p.prepare()
--- a/router/sharer/chooser.go
+++ b/router/sharer/chooser.go
@@ -11,9 +11,10 @@
 	// no recent copy.
 	unavailablePause = time.Second
 	// silentPause is how long an instance is not asked after it did not answer. It
-	// doubles with each further time, up to maxSilentPause.
+	// doubles with each further time, up to maxDoublings times.
 	silentPause    = time.Second
-	maxSilentPause = 8 * time.Second
+	maxDoublings   = 3
+	maxSilentPause = silentPause << maxDoublings
 	// storePause is how long an instance that is not a reader leaves the store alone
 	// after a call failed, so that an outage is not answered by calls of them all.
 	storePause = 2 * time.Second
@@ -41,7 +42,7 @@
 
 // Choose returns the source to read next: an instance, or "" for the store. readers
 // are the instances that read the store, in the order in which self is to ask them;
-// the first reads the store for self's data centre. A reader whose call to the store
+// the first reads the store for self's site. A reader whose call to the store
 // failed asks the others too, since the store may turn away some instances only.
 // Choose returns false if it is too soon to try any source again.
 func (c *Chooser) Choose(now time.Time, self identifier.Instance, readers []identifier.Instance) (identifier.Instance, bool) {
@@ -79,7 +80,7 @@
 	c.silent++
 	n := c.pauses[source].silent
 	c.set(now, source, pause{
-		until:  now.Add(min(silentPause<<min(n, 3), maxSilentPause)),
+		until:  now.Add(silentPause << min(n, maxDoublings)),
 		silent: n + 1,
 	})
 }
--- a/router/sharer/copy.go
+++ b/router/sharer/copy.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/platform/storer"
 )
@@ -67,7 +69,7 @@
 		if old.Version > r.Version {
 			continue
 		}
-		c.deleted += count(r.Deleted) - count(old.Deleted)
+		c.deleted += deletedRows(r) - deletedRows(old)
 		c.rows[r.Key] = r
 	}
 	c.version = p.Version
@@ -76,8 +78,9 @@
 	}
 }
 
-func count(set bool) int {
-	if set {
+// deletedRows returns 1 if r is kept only to report its deletion.
+func deletedRows(r storer.Row) int {
+	if r.Deleted {
 		return 1
 	}
 	return 0
@@ -181,21 +184,24 @@
 	return ms >= 0 && ms <= maxReplyAgeMs
 }
 
-// pageOf returns the page that an instance's reply to a request sent at sent holds.
+// pageOf returns the page that an instance's reply, received at now to a request sent
+// at sent, holds.
 // The news is as old as the reply says, counted from the request.
-func pageOf(sent time.Time, r *messenger.ReadReply) (storer.Page, error) {
+func pageOf(sent, now time.Time, r *messenger.ReadReply) (storer.Page, error) {
 	switch {
 	case r.GetHistoryDropped():
 		return storer.Page{}, storer.ErrHistoryDropped
-	case r.GetUnavailable() || !validAge(r.GetAgeMs()) || !validAge(r.GetFailureAgeMs()):
+	case r.GetUnavailable():
 		return storer.Page{}, errUnavailable
+	case !validAge(r.GetAgeMs()) || !validAge(r.GetFailureAgeMs()):
+		return storer.Page{}, errors.Wrapf(errInvalidReply, "ages of %d and %d ms", r.GetAgeMs(), r.GetFailureAgeMs())
 	}
 	page := storer.Page{
 		Version: storer.Version(r.GetVersion()),
 		ReadAt:  sent.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
 	}
 	if r.GetFailureAgeMs() > 0 {
-		page.FailedAt = time.Now().Add(-time.Duration(r.GetFailureAgeMs()) * time.Millisecond)
+		page.FailedAt = now.Add(-time.Duration(r.GetFailureAgeMs()) * time.Millisecond)
 	}
 	for _, row := range r.GetRows() {
 		page.Rows = append(page.Rows, storer.Row{
--- a/router/sharer/sharer.go
+++ b/router/sharer/sharer.go
@@ -34,6 +34,9 @@
 // errUnavailable means that an instance has no copy that is new enough.
 var errUnavailable = errors.New("the instance has no recent copy of the table")
 
+// errInvalidReply means that an instance sent a reply that cannot be right.
+var errInvalidReply = errors.New("invalid reply")
+
 // Store is the subset of the platform store's client that a sharer uses.
 type Store interface {
 	Rows(ctx context.Context, table string) (storer.Page, error)
@@ -174,13 +177,18 @@
 	page, err := s.ask(ctx, sent, source, r)
 	s.observe(t, sourceInstance, err)
 	switch {
+	case errors.Is(err, storer.ErrHistoryDropped) && r.GetWhole():
+		err = errors.Wrap(errInvalidReply, "no history for the whole table")
 	case errors.Is(err, storer.ErrHistoryDropped):
 		return storer.Page{}, err
 	case err == nil && page.Version < t.version(), err == nil && sent.Sub(page.ReadAt) > t.maxAge:
 		// Nothing that this instance has read is taken back.
 		err = errUnavailable
 	}
-	if errors.Is(err, errUnavailable) {
+	if errors.Is(err, errInvalidReply) {
+		s.Log.WithError(err).WithField("peer", source).WithField("table", t.name).Warn("reply of an instance set aside")
+	}
+	if errors.Is(err, errUnavailable) || errors.Is(err, errInvalidReply) {
 		t.chooser.Unavailable(time.Now(), source)
 		return storer.Page{}, err
 	}
@@ -211,7 +219,7 @@
 	if err != nil {
 		return storer.Page{}, err
 	}
-	return pageOf(sent, reply)
+	return pageOf(sent, time.Now(), reply)
 }
 
 func (s *Sharer) observe(t *table, source string, err error) {
