Log what is dropped at the peers' port

An operator saw nothing when something else than an instance connected to the peers' port: its bytes were dropped without a line (tried in a fresh clone with random bytes). The server's errors are logged now, bytes that are not of the protocol as a warning.

--- a/router/run.go
+++ b/router/run.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -89,7 +90,7 @@
 	d.group.Go(func() error { return p.Granter.Run(ctx) })
 	d.group.Go(func() error { return p.Acquirer.Run(ctx) })
 	d.group.Go(func() error { return p.Claimer.Run(ctx) })
-	d.group.Go(func() error { return servePeers(ctx, listeners.peer, p.Controller, p.Granter, nil) })
+	d.group.Go(func() error { return servePeers(ctx, listeners.peer, p.Controller, p.Granter, nil, p.Log) })
 	d.group.Go(func() error { return serveHTTP(ctx, d.caller, listeners.caller) })
 	d.group.Go(func() error { return serveHTTP(ctx, operator, listeners.operator) })
 	d.group.Go(func() error { return shutDownOnFailure(ctx, p.Log, shutdowner) })
@@ -181,7 +182,7 @@
 }
 
 // servePeers serves requests of the other instances until ctx ends.
-func servePeers(ctx context.Context, l net.Listener, c *controller.Controller, g *granter.Granter, sh *sharer.Sharer) error {
+func servePeers(ctx context.Context, l net.Listener, c *controller.Controller, g *granter.Granter, sh *sharer.Sharer, log logrus.FieldLogger) error {
 	mux := drpcmux.New()
 	err := messenger.DRPCRegisterPeer(mux, &peerService{
 		controller: c,
@@ -191,7 +192,20 @@
 	if err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
-	return errors.Wrap(drpcserver.New(mux).Serve(ctx, l), "serve peers")
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Log: func(err error) { logPeerError(log, err) },
+	})
+	return errors.Wrap(server.Serve(ctx, l), "serve peers")
+}
+
+// logPeerError logs the error with which a peer's connection ended. Bytes that are not
+// of the protocol are a warning; connections also end when a peer stops.
+func logPeerError(log logrus.FieldLogger, err error) {
+	if drpc.ProtocolError.Has(err) {
+		log.WithError(err).Warn("connection to the peers' port dropped; it sent bytes that are not of the protocol")
+		return
+	}
+	log.WithError(err).Debug("connection of a peer ended with an error")
 }
 
 // peerService implements the RPC service that the other instances call.
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -167,7 +167,7 @@
 	s.spawn("granter", func() error { return p.Granter.Run(ctx) })
 	s.spawn("acquirer", func() error { return p.Acquirer.Run(ctx) })
 	s.spawn("conductor", func() error { return p.Reconciler.Run(ctx) })
-	s.spawn("peers", func() error { return servePeers(ctx, peers, p.Controller, p.Granter, p.Sharer) })
+	s.spawn("peers", func() error { return servePeers(ctx, peers, p.Controller, p.Granter, p.Sharer, p.Log) })
 	s.spawn("relayer", func() error { return p.Proxier.Watch(ctx) })
 	s.spawn("sweeper", func() error { return s.sweepConnections(ctx) })
 	s.spawn("signals", func() error { return s.checkSettingsOnHangup(ctx) })
