Write an instance's registry entry once, although an older copy lacks it

Operators would see half of the fleet write its entry again some ten seconds after a start, work done twice: since the registry is read from another instance's copy, the copy may be from before the entry was written. Found by reading the change. An entry that was written is not written again for three readings, which is longer than a copy may be old; one whose write failed is tried at the next.

The two tests of many endless answers at once share their check.

--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -69,7 +69,10 @@
 	// platform.
 	platformRevision identifier.Revision
 	publishedLive    []identifier.Instance
-	pushSignal       chan struct{}
+	// registeredAt is when the instance was last entered in the registry. Only the
+	// goroutine that reads the registry accesses it.
+	registeredAt time.Time
+	pushSignal   chan struct{}
 
 	trackedMu sync.Mutex
 	tracked   map[identifier.Revision]*trackedAcceptance
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -255,16 +255,31 @@
 	return out
 }
 
-// syncRegistry reads the registry of instances, and enters this instance if its
-// entry is missing and it is not stopping.
+// registrationIntervals is how many readings of the registry an entry may be missing
+// from after it was written: what is read may be another instance's older copy.
+const registrationIntervals = 3
+
+// mustRegister reports whether this instance's entry must be written: it is missing from
+// the registry, was not written recently, and the instance is not stopping.
+func (c *Controller) mustRegister(listed []messenger.ListedInstance) bool {
+	if c.Publisher.Stopping() || slices.Contains(listed, c.ownListing()) {
+		return false
+	}
+	return time.Since(c.registeredAt) >= registrationIntervals*c.Settings.Platform.ListInterval.Std()
+}
+
+// syncRegistry reads the registry of instances, and enters this instance if it must.
 func (c *Controller) syncRegistry(ctx context.Context) {
 	listed, err := c.Source.Registry.List(ctx)
 	if err != nil {
 		c.Log.WithError(err).Debug("registry of instances not read")
 		return
 	}
-	if !slices.Contains(listed, c.ownListing()) && !c.Publisher.Stopping() {
-		if err := c.Source.Registry.Register(ctx, c.ownListing()); err != nil {
+	if c.mustRegister(listed) {
+		err := c.Source.Registry.Register(ctx, c.ownListing())
+		if err == nil {
+			c.registeredAt = time.Now()
+		} else {
 			c.Log.WithError(err).Warn("instance not entered in the registry; it is tried again")
 		}
 	}
--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -55,13 +55,27 @@
 type fakeRegistry struct {
 	mu     sync.Mutex
 	listed []messenger.ListedInstance
+	// lists and registrations count the calls; the first failures registrations fail.
+	lists         int
+	registrations int
+	failures      int
 }
 
-func (r *fakeRegistry) Register(context.Context, messenger.ListedInstance) error { return nil }
+// Register counts an announcement.
+func (r *fakeRegistry) Register(context.Context, messenger.ListedInstance) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.registrations++
+	if r.registrations <= r.failures {
+		return errors.New("the store is unavailable")
+	}
+	return nil
+}
 
 func (r *fakeRegistry) List(context.Context) ([]messenger.ListedInstance, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lists++
 	return r.listed, nil
 }
 
--- a/router/proxier/endless_test.go
+++ b/router/proxier/endless_test.go
@@ -149,6 +149,28 @@
 	return m.TotalAlloc
 }
 
+// checkHeapGrowth serves n requests at once, which all must fail, and requires that the
+// heap grows by no more than heapGrowthLimit meanwhile.
+func checkHeapGrowth(t *testing.T, f *fixture, n int) {
+	t.Helper()
+	var once sync.Once
+	got := heapPeak(func() {
+		var group errgroup.Group
+		for range n {
+			group.Go(func() error {
+				if _, _, err := f.serve(context.Background(), 2*time.Second); err == nil {
+					once.Do(func() { t.Error("got a response, want an error") })
+				}
+				return nil
+			})
+		}
+		group.Wait()
+	})
+	if got > heapGrowthLimit {
+		t.Errorf("got %d bytes of heap growth, want at most %d", got, heapGrowthLimit)
+	}
+}
+
 // heapPeak runs f and returns the largest sampled growth of the heap meanwhile, in
 // bytes.
 func heapPeak(f func()) uint64 {
@@ -188,22 +210,7 @@
 	})
 	f := newFixture(cataloguer.AtMostOnce, false, e)
 	f.proxier.MaxBufferedBytes = bufferLimit
-	var once sync.Once
-	got := heapPeak(func() {
-		var group errgroup.Group
-		for range 60 {
-			group.Go(func() error {
-				if _, _, err := f.serve(context.Background(), 2*time.Second); err == nil {
-					once.Do(func() { t.Error("got a response, want an error") })
-				}
-				return nil
-			})
-		}
-		group.Wait()
-	})
-	if got > heapGrowthLimit {
-		t.Errorf("got %d bytes of heap growth, want at most %d", got, heapGrowthLimit)
-	}
+	checkHeapGrowth(t, f, 60)
 }
 
 // TestLargeResponsesAlongsideEndless guards against endless responses that leave no
@@ -378,22 +385,7 @@
 		w.Write(long)
 	})
 	f := newFixture(cataloguer.AtMostOnce, true, e)
-	var once sync.Once
-	got := heapPeak(func() {
-		var group errgroup.Group
-		for range 100 {
-			group.Go(func() error {
-				if _, _, err := f.serve(context.Background(), 2*time.Second); err == nil {
-					once.Do(func() { t.Error("got a response, want an error") })
-				}
-				return nil
-			})
-		}
-		group.Wait()
-	})
-	if got > heapGrowthLimit {
-		t.Errorf("got %d bytes of heap growth, want at most %d", got, heapGrowthLimit)
-	}
+	checkHeapGrowth(t, f, 100)
 }
 
 // TestEndpointDataNotLogged guards against log lines that quote long data sent by
