--- a/core/courier/courier.go
+++ b/core/courier/courier.go
@@ -38,6 +38,9 @@
 	// PrefixTokens is the length of that start.
 	Prefix       string
 	PrefixTokens identifier.Tokens
+	// Parts lists the parts of the prompt that other requests may share, from the
+	// first; the part that belongs to this request alone is not among them.
+	Parts []identifier.Part
 	// LastEvent is the number of the last event that the caller already has.
 	LastEvent int64
 }
--- a/core/identifier/identifier.go
+++ b/core/identifier/identifier.go
@@ -29,6 +29,8 @@
 	Request string
 	// Version names one version of a model's weights.
 	Version string
+	// Part names one part of a prompt that several requests may share.
+	Part string
 )
 
 // Counted quantities.
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -30,6 +30,10 @@
 	failed   identifier.EndpointIncarnation
 	response *exchanger.Response
 	cancel   context.CancelCauseFunc
+	// answering is set once the endpoint has sent the header of a stream, and progressed
+	// once an event of the attempt was forwarded.
+	answering  bool
+	progressed bool
 	// lastEventAt is when the last event was received; nil before the first.
 	lastEventAt atomic.Pointer[time.Time]
 
@@ -141,7 +145,8 @@
 		a.response.Discard()
 		return errors.Wrapf(errFailed, "status %d for a resumed stream", status)
 	}
-	if !s.started && a.response.Status == http.StatusOK {
+	a.answering = a.response.Status == http.StatusOK
+	if !s.started && a.answering {
 		s.writeHeader(a.response)
 	}
 	return nil
@@ -226,6 +231,7 @@
 	a.bytesSinceProgress = 0
 	s.lastEvent.Store(e.id)
 	s.forwarded++
+	a.progressed = true
 	s.timing.recordEvent(time.Now())
 	return nil
 }
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -40,8 +40,10 @@
 	// forwarded counts the events that were forwarded.
 	forwarded int64
 	timing    timing
-	// chain is the last chain that was used.
-	chain []identifier.Stage
+	// chain is the last chain that was used, and unanswered is set if its endpoint had
+	// sent the header of the stream and no event.
+	chain      []identifier.Stage
+	unanswered bool
 
 	mu    sync.Mutex
 	avoid []identifier.EndpointIncarnation
@@ -91,13 +93,15 @@
 // logFailure logs an attempt that did not deliver the complete response.
 func (s *stream) logFailure(err error, retry bool) {
 	s.proxier.log(s.job).WithError(err).WithFields(logrus.Fields{
-		"chain":     formatChain(s.chain),
-		"last":      s.lastEvent.Load(),
-		"runs":      s.runs,
-		"left-ms":   time.Until(s.job.Deadline).Milliseconds(),
-		"again":     retry,
-		"retries":   s.proxier.budget(time.Now(), s.job.Service).Remaining(),
-		"queued-ms": s.timing.queued.Milliseconds(),
+		"chain":      formatChain(s.chain),
+		"last":       s.lastEvent.Load(),
+		"runs":       s.runs,
+		"left-ms":    time.Until(s.job.Deadline).Milliseconds(),
+		"again":      retry,
+		"retries":    s.proxier.budget(time.Now(), s.job.Service).Remaining(),
+		"queued-ms":  s.timing.queued.Milliseconds(),
+		"parts":      s.job.Request.Parts,
+		"unanswered": s.unanswered,
 	}).Warn("attempt failed")
 }
 
@@ -172,6 +176,7 @@
 	used := a.finish()
 	used.Release(a.outcome())
 	s.chain = used.Chain
+	s.unanswered = a.answering && !a.progressed
 	if a.failed.Endpoint != "" {
 		s.addAvoided(a.failed)
 	}
