Add a failing test of requests with one part that crash endpoint after endpoint

On this code 60 requests with the part crash all 60 endpoints, where five and three are allowed, and the sound requests that share their first part find no endpoint left.

--- /dev/null
+++ b/router/proxier/crash_test.go
@@ -0,0 +1,178 @@
+package proxier_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/courier"
+	"heatherhold.dev/core/director"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/acquirer"
+	"heatherhold.dev/router/proxier"
+)
+
+// partCodec passes on the parts of the prompt as well.
+type partCodec struct {
+	codec
+}
+
+func (c partCodec) RequestHeader(r *courier.Request, m courier.RequestMetadata) http.Header {
+	h := c.codec.RequestHeader(r, m)
+	for _, part := range r.Parts {
+		h.Add("Part", string(part))
+	}
+	return h
+}
+
+// crashingFleet is a set of endpoints that crash when they begin to answer a request
+// with the part bad. It grants chains of its endpoints in turn, and answers for them.
+type crashingFleet struct {
+	bad   string
+	alive []identifier.Stage
+
+	mu      sync.Mutex
+	next    int
+	arrived int
+	dead    map[string]bool
+}
+
+func newCrashingFleet(t *testing.T, bad string, n int) *crashingFleet {
+	t.Helper()
+	f := &crashingFleet{
+		bad:  bad,
+		dead: make(map[string]bool),
+	}
+	for i := range n {
+		s := httptest.NewServer(http.HandlerFunc(f.serve))
+		t.Cleanup(s.Close)
+		f.alive = append(f.alive, identifier.Stage{
+			EndpointIncarnation: identifier.EndpointIncarnation{
+				Endpoint:    identifier.Endpoint(fmt.Sprintf("e%d", i)),
+				Incarnation: 1,
+			},
+			Address: s.Listener.Addr().String(),
+			To:      4,
+		})
+	}
+	return f
+}
+
+func (f *crashingFleet) serve(w http.ResponseWriter, r *http.Request) {
+	address := r.Context().Value(http.LocalAddrContextKey).(interface{ String() string }).String()
+	crashes := slices.Contains(r.Header["Part"], f.bad)
+	f.mu.Lock()
+	if crashes {
+		f.arrived++
+		f.dead[address] = true
+	}
+	dead := f.dead[address]
+	f.mu.Unlock()
+	if dead && !crashes {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Id", "r1")
+	w.Header().Set("Stamp", "s")
+	w.WriteHeader(http.StatusOK)
+	w.(http.Flusher).Flush()
+	if crashes {
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprint(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+}
+
+// Acquire grants the next endpoint that has not crashed.
+func (f *crashingFleet) Acquire(_ context.Context, _ identifier.Service, ask *messenger.Ask) (*acquirer.Ticket, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range f.alive {
+		s := f.alive[f.next%len(f.alive)]
+		f.next++
+		if !f.dead[s.Address] {
+			return acquirer.NewTicket(ask, []identifier.Stage{s}), nil
+		}
+	}
+	return nil, classifier.New(classifier.NoChain, "every endpoint has crashed")
+}
+
+// Report answers for the endpoints that have not crashed.
+func (f *crashingFleet) Report(_ context.Context, address string) (director.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dead[address] {
+		return director.Report{}, errors.New("connection refused")
+	}
+	return director.Report{Slowdown: 1}, nil
+}
+
+// Repath is not used: the chains have one stage.
+func (f *crashingFleet) Repath(context.Context, identifier.Request, []identifier.Stage) (string, error) {
+	return "", director.ErrStageUnavailable
+}
+
+// arrivals returns how many requests with the bad part have reached an endpoint.
+func (f *crashingFleet) arrivals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.arrived
+}
+
+// serveParts forwards one request with the given parts.
+func serveParts(x *proxier.Proxier, route *cataloguer.Route, engine *cataloguer.Engine, parts ...identifier.Part) error {
+	w := httptest.NewRecorder()
+	_, err := x.Serve(context.Background(), w, proxier.Job{
+		Request: &courier.Request{
+			ID:     "r1",
+			Method: http.MethodPost,
+			Host:   "h",
+			URI:    "/x",
+			Parts:  parts,
+		},
+		Route:    route,
+		Service:  "s",
+		Engine:   engine,
+		Deadline: time.Now().Add(400 * time.Millisecond),
+	})
+	if err == nil && !strings.Contains(w.Body.String(), "id: 2") {
+		return errors.New("incomplete response")
+	}
+	return err
+}
+
+const (
+	// maxCrashArrivals is how many requests with a part that crashes endpoints may
+	// reach endpoints in all: five, and three more.
+	maxCrashArrivals = 5 + 3
+	// crashInterval is the time between two requests of the tests.
+	crashInterval = 30 * time.Millisecond
+)
+
+// TestPartThatCrashesEndpointsSentOn guards against sending requests with one part to
+// endpoint after endpoint, although each of them crashes.
+func TestPartThatCrashesEndpointsSentOn(t *testing.T) {
+	fleet := newCrashingFleet(t, "bad", 60)
+	f := newFixture(cataloguer.Resumable, true)
+	f.proxier.Tickets = fleet
+	f.proxier.Orderer = fleet
+	f.proxier.Codec = partCodec{}
+	for range 60 {
+		_ = serveParts(f.proxier, &f.route, f.engine, "first", "bad")
+		if err := serveParts(f.proxier, &f.route, f.engine, "first", "good"); err != nil {
+			t.Errorf("got error %v for a sound request, want none", err)
+		}
+		time.Sleep(crashInterval)
+	}
+	if got := fleet.arrivals(); got > maxCrashArrivals {
+		t.Errorf("got %d requests with the bad part at endpoints, want at most %d", got, maxCrashArrivals)
+	}
+}
