--- a/core/courier/courier.go
+++ b/core/courier/courier.go
@@ -74,6 +74,11 @@
 	// RefusedBy is the address of the endpoint that refused the request; empty if
 	// the response does not name one.
 	RefusedBy string
+	// Limit is how many requests a second the endpoint takes from all instances together;
+	// 0 if the response names no limit.
+	Limit float64
+	// LimitError is set if the response names a limit that is not understood.
+	LimitError error
 	// IdleTimeout is how long the endpoint keeps an idle connection open; 0 if the
 	// response does not specify it.
 	IdleTimeout time.Duration
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -46,7 +46,9 @@
 }
 
 func (codec) ParseResponse(_ *courier.Request, _ int, h http.Header) courier.ResponseMetadata {
+	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
 	return courier.ResponseMetadata{
+		Limit:     limit,
 		Matches:   h.Get("Id") == "r1",
 		NotRun:    h.Get("Not-Run") != "",
 		Signed:    h.Get("Stamp") != "",
