Keep requests within the limit that an endpoint names

The pool's owner starts chains at an endpoint within 0.9 of its limit, which each entry reports to it; of plain services a few live instances, chosen by hashing, share the limit. What does not fit goes elsewhere, waits if its turn comes in time, or is refused.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -48,6 +48,14 @@
 	owner   identifier.Instance
 	waiting map[identifier.Request]*waiter
 	tickets map[identifier.Request]*Ticket
+	// limits holds the limits that endpoints named, in requests a second.
+	limits map[identifier.EndpointIncarnation]namedLimit
+}
+
+// namedLimit is the limit that an endpoint named, and when it last did.
+type namedLimit struct {
+	perSecond float64
+	namedAt   time.Time
 }
 
 // waiter is a request that has no ticket yet.
@@ -117,6 +125,7 @@
 		out:     batcher.New[func(*messenger.ToOwner)](),
 		waiting: make(map[identifier.Request]*waiter),
 		tickets: make(map[identifier.Request]*Ticket),
+		limits:  make(map[identifier.EndpointIncarnation]namedLimit),
 	}
 	a.pools[s] = p
 	a.newPools.Add(p)
@@ -195,6 +204,55 @@
 	})
 }
 
+// ReportLimit tells the pool's owner how many requests a second an endpoint takes as the
+// first of a chain, according to its answer to a request that was sent at sentAt; 0 if
+// the answer names no limit. It reports whether the limit changed.
+func (t *Ticket) ReportLimit(now, sentAt time.Time, incarnation identifier.EndpointIncarnation, perSecond float64) bool {
+	if t.pool == nil || !t.pool.setLimit(now, sentAt, incarnation, perSecond) {
+		return false
+	}
+	t.pool.out.Add(func(m *messenger.ToOwner) { m.Limits = append(m.Limits, limitOf(incarnation, perSecond)) })
+	return true
+}
+
+// setLimit records a limit and reports whether the owner must be told. An answer to a
+// request that was sent before the limit was named does not end it.
+func (p *pool) setLimit(now, sentAt time.Time, incarnation identifier.EndpointIncarnation, perSecond float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, ok := p.limits[incarnation]
+	if perSecond <= 0 {
+		if !ok || sentAt.Before(old.namedAt) {
+			return false
+		}
+		delete(p.limits, incarnation)
+		return true
+	}
+	for other, l := range p.limits {
+		if now.Sub(l.namedAt) > limitRetention {
+			delete(p.limits, other)
+		}
+	}
+	p.limits[incarnation] = namedLimit{
+		perSecond: perSecond,
+		namedAt:   now,
+	}
+	return old.perSecond != perSecond
+}
+
+// limitRetention is how long a limit is reported to a new owner after it was last named.
+const limitRetention = time.Minute
+
+func limitOf(incarnation identifier.EndpointIncarnation, perSecond float64) *messenger.EndpointLimit {
+	return &messenger.EndpointLimit{
+		Endpoint: &messenger.Mark{
+			Endpoint:    string(incarnation.Endpoint),
+			Incarnation: uint64(incarnation.Incarnation),
+		},
+		PerSecond: perSecond,
+	}
+}
+
 // deliver passes an owner's decisions to the requests that they are about.
 func (p *pool) deliver(m *messenger.FromOwner) {
 	p.mu.Lock()
@@ -260,6 +318,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.owner = owner
+	for incarnation, l := range p.limits {
+		m.Limits = append(m.Limits, limitOf(incarnation, l.perSecond))
+	}
 	for _, w := range p.waiting {
 		m.Asks = append(m.Asks, w.ask)
 	}
--- a/router/balancer/balancer.go
+++ b/router/balancer/balancer.go
@@ -5,6 +5,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,6 +13,8 @@
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/assigner"
+	"heatherhold.dev/router/pacer"
 )
 
 const (
@@ -28,8 +31,13 @@
 )
 
 // Balancer records the load and the failures of endpoints as this instance observes
-// them. Its zero value is ready to use.
+// them. Its zero value is ready to use, and takes the limits of endpoints for its own.
 type Balancer struct {
+	// Self is this instance, and Live, if set, returns the live instances, which share
+	// the limits that endpoints name.
+	Self identifier.Instance
+	Live func() []identifier.Instance
+
 	mu      sync.Mutex
 	records map[identifier.EndpointIncarnation]*record
 }
@@ -40,31 +48,122 @@
 	failureRate       float64
 	consecutiveLosses int
 	avoidUntil        time.Time
+	// pace keeps this instance's requests within its share of the endpoint's limit. An
+	// instance without a share sends nothing before closedUntil.
+	pace        pacer.Bucket
+	closedUntil time.Time
+}
+
+// wait returns how long a request to the endpoint has to wait.
+func (r *record) wait(now time.Time) time.Duration {
+	return max(r.pace.Wait(now), r.closedUntil.Sub(now), 0)
 }
 
 // Pick chooses among endpoints, and counts a request as in flight there until
-// Done. It returns false if every endpoint is leaving or to be avoided. Endpoints in
-// data centre near are preferred.
-func (b *Balancer) Pick(now time.Time, endpoints []cataloguer.Endpoint, near identifier.DataCentre, avoid []identifier.EndpointIncarnation) (cataloguer.Endpoint, bool) {
+// Done. It returns false if there is none to choose: with the time until the first one
+// whose limit allows a request or, if every endpoint is leaving or to be avoided, a
+// negative time. Endpoints in data centre near are preferred.
+func (b *Balancer) Pick(now time.Time, endpoints []cataloguer.Endpoint, near identifier.DataCentre, avoid []identifier.EndpointIncarnation) (cataloguer.Endpoint, time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best := -1
 	lowest := 0.0
+	shortest := time.Duration(-1)
 	for i := range endpoints {
 		e := &endpoints[i]
 		if e.Leaving || slices.Contains(avoid, e.EndpointIncarnation) {
 			continue
 		}
+		if wait := b.wait(now, e.EndpointIncarnation); wait > 0 {
+			if shortest < 0 || wait < shortest {
+				shortest = wait
+			}
+			continue
+		}
 		s := b.score(now, e, near)
 		if best < 0 || s < lowest {
 			best, lowest = i, s
 		}
 	}
 	if best < 0 {
-		return cataloguer.Endpoint{}, false
+		return cataloguer.Endpoint{}, shortest, false
+	}
+	r := b.record(endpoints[best].EndpointIncarnation)
+	r.inFlight++
+	r.pace.Take(now)
+	if !r.closedUntil.IsZero() {
+		r.closedUntil = now.Add(answerWait)
+	}
+	return endpoints[best], 0, true
+}
+
+// answerWait is how long an instance without a share of an endpoint's limit waits for the
+// answer that tells whether there still is a limit.
+const answerWait = 2 * time.Second
+
+func (b *Balancer) wait(now time.Time, incarnation identifier.EndpointIncarnation) time.Duration {
+	r, ok := b.records[incarnation]
+	if !ok {
+		return 0
+	}
+	return r.wait(now)
+}
+
+// Limit records the limit that an endpoint named in its answer to a request that was sent
+// at sentAt, in requests a second; 0 if it named none. It reports whether the limit
+// changed.
+func (b *Balancer) Limit(now, sentAt time.Time, incarnation identifier.EndpointIncarnation, perSecond float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(incarnation)
+	if perSecond <= 0 {
+		changed := r.pace.Limit(now, sentAt, 0)
+		if changed || !r.closedUntil.IsZero() {
+			r.closedUntil = time.Time{}
+		}
+		return changed
+	}
+	share, instances := b.share(incarnation, perSecond)
+	if share > 0 {
+		r.closedUntil = time.Time{}
+		return r.pace.Limit(now, sentAt, share)
+	}
+	changed := r.closedUntil.IsZero()
+	r.pace = pacer.Bucket{}
+	// Together the instances without a share ask about askedShare of the limit.
+	period := float64(instances) / (askedShare * perSecond)
+	r.closedUntil = now.Add(time.Duration(rand.Float64() * min(period, maxClosed.Seconds()) * float64(time.Second)))
+	return changed
+}
+
+const (
+	// askedShare is the share of a limit that instances without a share of their own use
+	// to find out whether it still holds.
+	askedShare = 0.1
+	// maxClosed bounds the time until such an instance asks.
+	maxClosed = 10 * time.Minute
+	// minMembers is how many instances share a limit, however small it is, and
+	// membersPerRequest how many more for each request a second.
+	minMembers        = 2
+	membersPerRequest = 2
+)
+
+// share returns this instance's share of an endpoint's limit, and the number of live
+// instances. Few instances share a small limit, since each may send one request at once.
+func (b *Balancer) share(incarnation identifier.EndpointIncarnation, perSecond float64) (float64, int) {
+	var live []identifier.Instance
+	if b.Live != nil {
+		live = b.Live()
+	}
+	members := min(len(live), minMembers+int(min(membersPerRequest*perSecond, math.MaxInt32)))
+	if members == 0 {
+		return perSecond, 1
+	}
+	rank, ok := assigner.Rank(identifier.Service(incarnation.String()), live, b.Self)
+	if !ok || rank >= members {
+		return 0, len(live)
 	}
-	b.record(endpoints[best].EndpointIncarnation).inFlight++
-	return endpoints[best], true
+	return perSecond / float64(members), len(live)
 }
 
 // What is added to the score, in requests in flight, of an endpoint in another data
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -198,6 +199,9 @@
 		return
 	}
 	g.refresh(p)
+	for _, l := range m.GetLimits() {
+		p.setLimit(now, l, g.Publisher.View().Instances())
+	}
 	for _, h := range m.GetHeld() {
 		ticket := activeTicketOf(h)
 		p.sessionByRequest[ticket.Request] = session
@@ -223,6 +227,22 @@
 	}
 }
 
+// setLimit applies an endpoint's limit. A pool that an entry schedules alone gets the
+// share of one of n instances.
+func (p *pool) setLimit(now time.Time, l *messenger.EndpointLimit, n int) {
+	perSecond := l.GetPerSecond()
+	if !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return
+	}
+	if p.key.Standalone {
+		perSecond /= float64(n)
+	}
+	p.scheduler.SetLimit(now, identifier.EndpointIncarnation{
+		Endpoint:    identifier.Endpoint(l.GetEndpoint().GetEndpoint()),
+		Incarnation: identifier.Incarnation(l.GetEndpoint().GetIncarnation()),
+	}, perSecond)
+}
+
 func (p *pool) dropRequest(r identifier.Request) {
 	delete(p.sessionByRequest, r)
 	delete(p.expiries, r)
--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -31,6 +31,8 @@
 	// Backlog is how long the endpoint will be busy with prompts that were assigned
 	// to it earlier.
 	Backlog time.Duration
+	// NotFirst is set while the endpoint may not be the first of a chain.
+	NotFirst bool
 	// Cached is the number of the request's prompt tokens that the endpoint has cached.
 	Cached identifier.Tokens
 }
@@ -128,7 +130,7 @@
 		cost: math.Inf(1),
 		prev: -1,
 	}
-	if r.From == 0 && hasMemory(r, s.need, 1) {
+	if r.From == 0 && !r.NotFirst && hasMemory(r, s.need, 1) {
 		best.cost = whole + waiting + s.centres.entryCost(centre)
 	}
 	for _, a := range s.connecting(r) {
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -113,6 +113,25 @@
 	return a.handleHeader()
 }
 
+// reportLimit tells the pool's owner which limit the first stage names.
+func (a *attempt) reportLimit(info courier.ResponseMetadata) {
+	x := a.stream.proxier
+	if info.LimitError != nil {
+		x.log(a.stream.job).WithError(info.LimitError).Warn("limit of an endpoint not understood")
+		return
+	}
+	if !info.Matches {
+		return
+	}
+	a.mu.Lock()
+	ticket := a.ticket
+	a.mu.Unlock()
+	first := ticket.Chain[0].EndpointIncarnation
+	if ticket.ReportLimit(time.Now(), a.startedAt, first, info.Limit) {
+		x.logLimit(first.Endpoint, info.Limit)
+	}
+}
+
 // recordFailure records the stage that failed and returns err.
 func (a *attempt) recordFailure(err error, failed identifier.EndpointIncarnation) error {
 	a.failed = failed
@@ -124,6 +143,7 @@
 func (a *attempt) handleHeader() error {
 	s := a.stream
 	info := s.proxier.Codec.ParseResponse(s.job.Request, a.response.Status, a.response.Header)
+	a.reportLimit(info)
 	if info.NotRun {
 		status := a.response.Status
 		a.response.Discard()
--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/courier"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/balancer"
@@ -63,9 +64,9 @@
 
 func (p *plainRequest) run(ctx context.Context) error {
 	for {
-		e, ok := p.pick()
-		if !ok {
-			return finalError(ctx, p.ran, errors.New("no untried endpoint of the service is left"))
+		e, err := p.pick(ctx)
+		if err != nil {
+			return finalError(ctx, p.ran, err)
 		}
 		response, err := p.send(ctx, e)
 		p.proxier.Balancer.Done(time.Now(), e.EndpointIncarnation, outcome(ctx, response, err))
@@ -111,11 +112,42 @@
 	log.Info("request served")
 }
 
-func (p *plainRequest) pick() (cataloguer.Endpoint, bool) {
+// pick chooses an endpoint. If the limits of all endpoints are used up, it waits for the
+// first one whose turn comes within the target, or for half of the time left.
+func (p *plainRequest) pick(ctx context.Context) (cataloguer.Endpoint, error) {
 	x := p.proxier
-	return x.Balancer.Pick(time.Now(), x.Publisher.View().Fleet[p.job.Service], x.DataCentre, p.avoid)
+	start := time.Now()
+	longest := time.Until(p.job.Deadline) / 2
+	if target := p.job.Route.Target; target > 0 {
+		longest = min(longest, target)
+	}
+	for {
+		e, wait, ok := x.Balancer.Pick(time.Now(), x.Publisher.View().Fleet[p.job.Service], x.DataCentre, p.avoid)
+		if ok {
+			return e, nil
+		}
+		if wait < 0 {
+			return e, errors.New("no untried endpoint of the service is left")
+		}
+		if time.Since(start)+wait > longest {
+			return e, &classifier.Error{
+				Kind:       classifier.Overloaded,
+				Detail:     "the endpoints of the service take no more requests for now",
+				RetryAfter: min(wait, maxLimitRetryAfter),
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return e, ctx.Err()
+		case <-time.After(wait):
+		}
+	}
 }
 
+// maxLimitRetryAfter bounds the suggested retry delay after a refusal for a limit: the
+// retry may reach an instance that has more of the limit left.
+const maxLimitRetryAfter = time.Second
+
 // mayRetry reports whether the request may be sent to another endpoint.
 func (p *plainRequest) mayRetry(err error) bool {
 	if errors.Is(err, exchanger.ErrNotSent) || errors.Is(err, errNotRun) {
@@ -136,6 +168,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(attemptFraction*float64(remaining)))
 		defer cancel()
 	}
+	sentAt := time.Now()
 	response, err := p.proxier.Exchanger.Open(ctx, p.proxier.newRequest(j, e.Address, courier.RequestMetadata{
 		Endpoint:  e.Endpoint,
 		Customer:  j.Customer,
@@ -152,9 +185,27 @@
 		p.proxier.Exchanger.CloseIdle(e.Address)
 		return nil, err
 	}
+	p.recordLimit(sentAt, e, response)
 	return p.read(response)
 }
 
+// recordLimit records the limit that the endpoint names in its response.
+func (p *plainRequest) recordLimit(sentAt time.Time, e cataloguer.Endpoint, response *exchanger.Response) {
+	info := p.proxier.Codec.ParseResponse(p.job.Request, response.Status, response.Header)
+	if info.LimitError != nil {
+		p.proxier.log(p.job).WithError(info.LimitError).WithField("endpoint", e.Endpoint).Warn("limit of an endpoint not understood")
+		return
+	}
+	if p.proxier.Balancer.Limit(time.Now(), sentAt, e.EndpointIncarnation, info.Limit) {
+		p.proxier.logLimit(e.Endpoint, info.Limit)
+	}
+}
+
+// logLimit logs a limit that changed; 0 is none.
+func (x *Proxier) logLimit(e identifier.Endpoint, perSecond float64) {
+	x.Log.WithField("endpoint", e).WithField("per-second", perSecond).Info("endpoint names another limit")
+}
+
 const (
 	// refusalLimit limits how much is read of the body of a response that reports
 	// that the request did not run, in bytes.
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/pacer"
 	"heatherhold.dev/router/planner"
 )
 
@@ -31,6 +32,8 @@
 	failure failure
 	// prefillUntil is when the endpoint will have processed the prompts assigned to it.
 	prefillUntil time.Time
+	// pace keeps the requests that start at the endpoint within the limit that it named.
+	pace pacer.Bucket
 }
 
 // state returns the state of an endpoint, which it creates on first use.
@@ -81,6 +84,48 @@
 	p.updateCapacity()
 }
 
+// SetLimit sets how many requests a second an endpoint takes as the first of a chain; 0
+// ends the limit.
+func (p *Pool) SetLimit(now time.Time, incarnation identifier.EndpointIncarnation, perSecond float64) {
+	p.prepare()
+	if p.runner(incarnation) == nil && perSecond <= 0 {
+		return
+	}
+	p.state(incarnation).pace.Limit(now, now, perSecond)
+	p.forget(incarnation)
+}
+
+// takePace records that a request is sent to an endpoint.
+func (p *Pool) takePace(now time.Time, incarnation identifier.EndpointIncarnation) {
+	pace := &p.state(incarnation).pace
+	if !pace.Limited() {
+		return
+	}
+	pace.Take(now)
+	if r := p.runner(incarnation); r != nil {
+		r.NotFirst = pace.Wait(now) > 0
+	}
+}
+
+// paceWait returns how long a request behind n others waits for its turn at an endpoint
+// that can be the first of a chain, if each of these has named a limit.
+func (p *Pool) paceWait(n int) time.Duration {
+	rate := 0.0
+	for i, s := range p.runnerStates {
+		if p.runners[i].From != 0 {
+			continue
+		}
+		if !s.pace.Limited() {
+			return 0
+		}
+		rate += s.pace.PerSecond()
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(n) / rate * float64(time.Second))
+}
+
 // updateCapacity calculates the token rate that the pool can sustain.
 func (p *Pool) updateCapacity() {
 	p.capacity = planner.Capacity(p.runners, p.policy.Layers, p.policy.Version)
@@ -94,6 +139,7 @@
 		r.Running = s.load.usedSlots() + s.foreignStreams
 		r.ReservedTokens = s.load.reservedTokens
 		r.Backlog = max(s.prefillUntil.Sub(now), 0)
+		r.NotFirst = s.pace.Wait(now) > 0
 		if s.failure.failed() {
 			r.Running = max(r.Running, r.Slots-s.failure.usableSlots(now, r.Slots))
 		}
@@ -247,6 +293,9 @@
 // it, at the token rate that the pool can sustain.
 func (p *Pool) estimateWait(now time.Time, c *class, w *waitingRequest) time.Duration {
 	ahead := p.tokensAhead(c, w)
+	if paced := p.paceWait(len(p.waiting)); paced > 0 {
+		return paced
+	}
 	if p.capacity <= 0 || ahead <= 0 {
 		return 0
 	}
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -375,6 +375,9 @@
 		since:          now,
 	}
 	p.active[w.ask.Request] = active
+	if w.ask.Repairs == "" {
+		p.takePace(now, chain[0].EndpointIncarnation)
+	}
 	for _, s := range chain {
 		fraction := p.layerFraction(s)
 		active.fractions = append(active.fractions, fraction)
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -126,12 +126,15 @@
 
 func newProxier(s *loader.Settings, pub *publisher.Publisher, q *quarantiner.Quarantiner, a *acquirer.Acquirer, e *exchanger.Exchanger, orders *orderer.Client, p *reporter.Reporter, log logrus.FieldLogger) *proxier.Proxier {
 	return &proxier.Proxier{
-		Publisher:   pub,
-		Tickets:     a,
-		Exchanger:   e,
-		Codec:       translator.Codec{},
-		Orderer:     orders,
-		Balancer:    &balancer.Balancer{},
+		Publisher: pub,
+		Tickets:   a,
+		Exchanger: e,
+		Codec:     translator.Codec{},
+		Orderer:   orders,
+		Balancer: &balancer.Balancer{
+			Self: s.Instance,
+			Live: func() []identifier.Instance { return pub.View().Live },
+		},
 		Reporter:    p,
 		Quarantiner: q,
 		DataCentre:  s.DataCentre,
