Treat a stream that ends with its connection before the first event as lost

Cause: the end of such a body is the end of the connection, which is the end of a complete response to net/http. TestEmptyStreamUntilClose failed before with no events.

--- a/router/exchanger/response.go
+++ b/router/exchanger/response.go
@@ -17,6 +17,9 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// UntilClose is set if the body has neither a length nor chunks and ends with the
+	// connection: whether it is complete can only be told from what it holds.
+	UntilClose bool
 
 	exchanger *Exchanger
 	conn      *conn
@@ -89,6 +92,7 @@
 		}
 		r.Status = res.StatusCode
 		r.Header = res.Header
+		r.UntilClose = res.ContentLength < 0 && len(res.TransferEncoding) == 0
 		r.body = res.Body
 		r.closeAfter = res.Close
 		return nil
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -186,6 +186,9 @@
 // errNoProgress reports a stream that sends data but no new events.
 var errNoProgress = errors.New("the stream sent too many bytes without a new event")
 
+// errNoEvents reports a stream that ended with its connection before the first event.
+var errNoEvents = errors.New("the connection ended before the first event")
+
 // forwardEvents forwards the events of the response, each complete and in order.
 func (a *attempt) forwardEvents() error {
 	s := a.stream
@@ -198,6 +201,9 @@
 		e, err := events.next()
 		now := time.Now()
 		a.lastEventAt.Store(&now)
+		if errors.Is(err, io.EOF) && a.response.UntilClose && s.lastEvent.Load() == s.job.Request.LastEvent {
+			err = errNoEvents
+		}
 		if errors.Is(err, io.EOF) {
 			a.response.Close(s.proxier.Codec.ParseResponse(s.job.Request, a.response.Status, a.response.Header).IdleTimeout)
 			return s.writeEvents(out, a.pending)
--- a/router/proxier/proxier_test.go
+++ b/router/proxier/proxier_test.go
@@ -161,6 +161,28 @@
 	}
 }
 
+// TestEmptyStreamUntilClose guards against taking a stream whose endpoint ended before the
+// first event, and that has neither a length nor chunks, for a complete one.
+func TestEmptyStreamUntilClose(t *testing.T) {
+	first := newEndpoint(t, "a", func(_ int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n")
+		w.(net.Conn).Close()
+	})
+	second := newEndpoint(t, "b", func(after int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n")
+		fmt.Fprint(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+		w.(net.Conn).Close()
+	})
+	f := newFixture(cataloguer.Resumable, true, first, second)
+	w, _, err := f.serve(context.Background(), 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := ids(w.Body.String()), "1 2"; got != want {
+		t.Errorf("got events %q, want %q", got, want)
+	}
+}
+
 // TestNotResumable requires that a stream that must run at most once is not run
 // again, and that the part that its caller received does not look complete.
 func TestNotResumable(t *testing.T) {
