Let operators list and release the parts of prompts that are refused

An operator could see the verdicts in the log only, and had no way to end one before its next test. operator quarantine and operator quarantine release PART ask any instance on the users' platform, with the key of operator.key-sha256. The test key of the defaults, which is public, is not valid there (TestPublicTestKeyOnPlatform).

--- a/core/messenger/operator.go
+++ b/core/messenger/operator.go
@@ -99,6 +99,27 @@
 	Stored bool `json:"kept"`
 }
 
+// QuarantinedPart is a part of prompts that is suspected or condemned.
+type QuarantinedPart struct {
+	Part      string `json:"part"`
+	Condemned bool   `json:"condemned"`
+	Crashes   int    `json:"crashes"`
+	// LastCrashMs is how long ago the last endpoint crashed, and TestInMs how long it is
+	// until the part may be tested; both are in milliseconds.
+	LastCrashMs int64 `json:"last-crash-ms"`
+	TestInMs    int64 `json:"test-in-ms"`
+}
+
+// QuarantineList lists the suspected and condemned parts that an instance knows.
+type QuarantineList struct {
+	Parts []QuarantinedPart `json:"parts"`
+}
+
+// PartRelease makes the crashes so far count no longer against a part.
+type PartRelease struct {
+	Part string `json:"part"`
+}
+
 // Status is one instance's view of the system.
 type Status struct {
 	Instance  string           `json:"instance"`
--- a/operator/main.go
+++ b/operator/main.go
@@ -111,6 +111,7 @@
 		t.getCommand(),
 		t.statusCommand(),
 		t.drainCommand(),
+		t.quarantineCommand(),
 		t.explainCommand(),
 		hashCommand(),
 	)
--- a/operator/requester/requester.go
+++ b/operator/requester/requester.go
@@ -95,6 +95,20 @@
 	return out, err
 }
 
+// Quarantine lists the parts of prompts that are suspected or condemned.
+func (c *Client) Quarantine(ctx context.Context) (messenger.QuarantineList, error) {
+	var out messenger.QuarantineList
+	err := c.call(ctx, http.MethodGet, "/v1/quarantine", nil, &out)
+	return out, err
+}
+
+// ReleasePart makes the crashes so far count no longer against a part of prompts.
+func (c *Client) ReleasePart(ctx context.Context, part string) (messenger.PartRelease, error) {
+	var out messenger.PartRelease
+	err := c.call(ctx, http.MethodPost, "/v1/quarantine/releases", messenger.PartRelease{Part: part}, &out)
+	return out, err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
--- a/router/loader/loader.go
+++ b/router/loader/loader.go
@@ -129,8 +129,8 @@
 	Key          string              `toml:"key"`
 }
 
-// Operator holds the settings of the listener for operators. If Store is set, they
-// have no effect.
+// Operator holds the settings of the listener for operators. If Store is set, only
+// KeySHA256 has an effect, and the one of the defaults is not valid.
 type Operator struct {
 	// KeySHA256 is the SHA-256 hash of an operator key that is valid even before any
 	// key is declared.
@@ -171,9 +171,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
 	}
+	testKey := s.Operator.KeySHA256
 	if err := decoder.Strict(path, data, &s); err != nil {
 		return nil, err
 	}
+	if s.Store != nil && s.Operator.KeySHA256 == testKey {
+		// The key of the defaults is public.
+		s.Operator.KeySHA256 = ""
+	}
 	s.path = path
 	return &s, s.check(path, data)
 }
--- a/router/loader/loader_test.go
+++ b/router/loader/loader_test.go
@@ -113,3 +113,26 @@
 		}
 	}
 }
+
+// TestPublicTestKeyOnPlatform guards against an operators' key that everyone knows, where
+// the settings of an instance on a platform with a store name none.
+func TestPublicTestKeyOnPlatform(t *testing.T) {
+	const store = "\n[store]\naddress = \"127.0.0.1:1\"\nwait = \"1s\"\n"
+	own := strings.Repeat("ab", 32)
+	for text, want := range map[string]string{
+		store: "",
+		"[operator]\nkey-sha256 = \"" + own + "\"\n" + store: own,
+	} {
+		path := filepath.Join(t.TempDir(), "settings.toml")
+		if err := os.WriteFile(path, []byte("[listen]\nready = \"127.0.0.1:2\"\n"+text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := loader.Load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Operator.KeySHA256; got != want {
+			t.Errorf("got key hash %q, want %q", got, want)
+		}
+	}
+}
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/router/acquirer"
+	"heatherhold.dev/router/administrator"
 	"heatherhold.dev/router/controller"
 	"heatherhold.dev/router/dialer"
 	"heatherhold.dev/router/exchanger"
@@ -204,11 +205,17 @@
 	}
 }
 
-// operatorHandler returns the handler of the operators' interface, which serves
-// metrics.
+// operatorHandler returns the handler of the operators' interface, which serves metrics
+// and the quarantine of parts of prompts.
 func (s *storeDaemon) operatorHandler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { s.params.Reporter.Write(w) })
+	q := &administrator.Quarantine{
+		Quarantiner: s.params.Keeper.Quarantiner,
+		KeySHA256:   s.params.Settings.Operator.KeySHA256,
+		Log:         s.params.Log,
+	}
+	q.Register(r)
 	return r
 }
 
