--- a/router/proxier/crash_test.go
+++ b/router/proxier/crash_test.go
@@ -38,12 +38,15 @@
 // crashingFleet is a set of endpoints that crash when they begin to answer a request
 // with the part bad. It grants chains of its endpoints in turn, and answers for them.
 type crashingFleet struct {
-	bad   string
-	alive []identifier.Stage
+	bad string
+	// onCrash, if set, is called before an endpoint crashes.
+	onCrash func()
+	alive   []identifier.Stage
 
 	mu      sync.Mutex
 	next    int
 	arrived int
+	probes  int
 	dead    map[string]bool
 }
 
@@ -74,7 +77,6 @@
 	f.mu.Lock()
 	if crashes {
 		f.arrived++
-		f.dead[address] = true
 	}
 	dead := f.dead[address]
 	f.mu.Unlock()
@@ -86,6 +88,12 @@
 	w.WriteHeader(http.StatusOK)
 	w.(http.Flusher).Flush()
 	if crashes {
+		if f.onCrash != nil {
+			f.onCrash()
+		}
+		f.mu.Lock()
+		f.dead[address] = true
+		f.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
 	fmt.Fprint(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
@@ -109,6 +117,7 @@
 func (f *crashingFleet) Report(_ context.Context, address string) (director.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.probes++
 	if f.dead[address] {
 		return director.Report{}, errors.New("connection refused")
 	}
@@ -176,3 +185,27 @@
 		t.Errorf("got %d requests with the bad part at endpoints, want at most %d", got, maxCrashArrivals)
 	}
 }
+
+// TestCrashOfManyStreamsAskedOnce guards against a question to an endpoint for each of
+// the streams that its crash ended.
+func TestCrashOfManyStreamsAskedOnce(t *testing.T) {
+	const streams = 20
+	fleet := newCrashingFleet(t, "bad", 1)
+	f := newFixture(cataloguer.AtMostOnce, true)
+	f.proxier.Tickets = fleet
+	f.proxier.Orderer = fleet
+	f.proxier.Codec = partCodec{}
+	var arrived, group sync.WaitGroup
+	arrived.Add(streams)
+	fleet.onCrash = func() {
+		arrived.Done()
+		arrived.Wait()
+	}
+	for range streams {
+		group.Go(func() { _ = serveParts(f.proxier, &f.route, f.engine, "bad") })
+	}
+	group.Wait()
+	if got := fleet.probes; got != 1 {
+		t.Errorf("got %d questions for %d streams of one endpoint, want 1", got, streams)
+	}
+}
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/identifier"
@@ -84,11 +87,69 @@
 	if !errors.Is(err, exchanger.ErrLost) {
 		return false
 	}
-	address := addressOf(a.chain(), a.failed)
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	_, err = x.Orderer.Report(ctx, address)
-	return err != nil
+	return x.reports.crashed(a.failed, func() bool {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		_, err := x.Orderer.Report(ctx, addressOf(a.chain(), a.failed))
+		return err != nil
+	})
+}
+
+// crashReports remembers for a short time which endpoints were asked whether they
+// crashed, since a crash ends many streams at once.
+type crashReports struct {
+	group singleflight.Group
+
+	mu      sync.Mutex
+	results map[identifier.EndpointIncarnation]crashReport
+}
+
+// crashReport is the result of asking an endpoint.
+type crashReport struct {
+	at      time.Time
+	crashed bool
+}
+
+// reportRetention is how long the result of asking an endpoint is used.
+const reportRetention = time.Second
+
+// crashed returns the recent result for an endpoint, or that of ask.
+func (c *crashReports) crashed(incarnation identifier.EndpointIncarnation, ask func() bool) bool {
+	if r, ok := c.recent(incarnation); ok {
+		return r.crashed
+	}
+	// The function returns no error.
+	result, _, _ := c.group.Do(incarnation.String(), func() (any, error) {
+		if r, ok := c.recent(incarnation); ok {
+			return r.crashed, nil
+		}
+		crashed := ask()
+		c.add(incarnation, crashed)
+		return crashed, nil
+	})
+	return result.(bool)
+}
+
+func (c *crashReports) recent(incarnation identifier.EndpointIncarnation) (crashReport, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.results[incarnation]
+	return r, ok && time.Since(r.at) < reportRetention
+}
+
+// add adds a result and drops those that are too old.
+func (c *crashReports) add(incarnation identifier.EndpointIncarnation, crashed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.results == nil {
+		c.results = make(map[identifier.EndpointIncarnation]crashReport)
+	}
+	now := time.Now()
+	maps.DeleteFunc(c.results, func(_ identifier.EndpointIncarnation, r crashReport) bool { return now.Sub(r.at) >= reportRetention })
+	c.results[incarnation] = crashReport{
+		at:      now,
+		crashed: crashed,
+	}
 }
 
 // addressOf returns the address of an endpoint incarnation in a chain.
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -85,7 +85,8 @@
 	MaxBufferedBytes int64
 	Log              logrus.FieldLogger
 
-	quota byteQuota
+	quota   byteQuota
+	reports crashReports
 
 	mu      sync.Mutex
 	budgets map[identifier.Service]*budget
