--- a/router/proxier/proxier_test.go
+++ b/router/proxier/proxier_test.go
@@ -168,7 +168,7 @@
 		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n")
 		w.(net.Conn).Close()
 	})
-	second := newEndpoint(t, "b", func(after int, w io.Writer) {
+	second := newEndpoint(t, "b", func(_ int, w io.Writer) {
 		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\n\r\n")
 		fmt.Fprint(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 		w.(net.Conn).Close()
