Wait until the crash of a test counts before a suspected part is tested again

A suspected part was tested one request at a time, but the next one at once after a crash, which counts only 0.4 s later: found in the last reading of the change. TestTestsOfSuspectedPartInSuccession: 10 requests in 0.1 s before, 1 after.

--- a/router/quarantiner/quarantiner_test.go
+++ b/router/quarantiner/quarantiner_test.go
@@ -356,3 +356,22 @@
 		q.Verdicts(fleet.now.Add(time.Minute))
 	})
 }
+
+// TestTestsOfSuspectedPartInSuccession guards against further tests of a suspected part
+// before the crash of the last one counts.
+func TestTestsOfSuspectedPartInSuccession(t *testing.T) {
+	f := newFleet(1)
+	f.crash("i0", bad)
+	f.crash("i0", bad)
+	f.now = f.now.Add(settled)
+	sent := 0
+	for range 10 {
+		if f.send("i0", bad) {
+			sent++
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	if sent != 1 {
+		t.Errorf("got %d requests with the suspected part sent within 0.1 s, want 1", sent)
+	}
+}
--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -215,7 +215,7 @@
 		Crashes:   crashes,
 		LastCrash: r.lastCrash(),
 	}
-	v.TestAt = v.LastCrash
+	v.TestAt = v.LastCrash.Add(SettleTime)
 	if condemned {
 		v.TestAt = v.LastCrash.Add(condemnedDelay(crashes))
 	}
