Keep the newest crashes of a part, not the first ones

What callers would have seen: after 16 crashes and a release by operators, more endpoints could crash under the part without end, since the crashes before the release filled its record. Found by reading. TestCrashesAfterManyReleased failed before.

--- a/router/quarantiner/quarantiner_test.go
+++ b/router/quarantiner/quarantiner_test.go
@@ -375,3 +375,26 @@
 		t.Errorf("got %d requests with the suspected part sent within 0.1 s, want 1", sent)
 	}
 }
+
+// TestCrashesAfterManyReleased guards against a part that is never condemned again because
+// the crashes before its release fill its record.
+func TestCrashesAfterManyReleased(t *testing.T) {
+	f := newFleet(2)
+	for range 40 {
+		f.crash("i0", bad)
+		f.now = f.now.Add(time.Millisecond)
+	}
+	f.exchangeAll()
+	f.instances["i0"].Release(f.now, bad)
+	f.now = f.now.Add(time.Millisecond)
+	for range 5 {
+		f.crash("i1", bad)
+	}
+	f.exchangeAll()
+	f.now = f.now.Add(settled)
+	for _, name := range f.names {
+		if f.send(name, bad) {
+			t.Errorf("%s sent a request with the part that crashed five endpoints after its release", name)
+		}
+	}
+}
--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -33,7 +33,7 @@
 	// crash, up to maxTestDelay.
 	testDelay    = time.Minute
 	maxTestDelay = time.Hour
-	// maxCrashes is how many crashes are kept for one part.
+	// maxCrashes is how many crashes are kept for one part: the newest ones.
 	maxCrashes = 16
 )
 
@@ -85,12 +85,27 @@
 		return false
 	}
 	if len(r.crashes) >= maxCrashes {
-		return false
+		oldest := r.oldestCrash()
+		if !at.After(r.crashes[oldest]) {
+			return false
+		}
+		delete(r.crashes, oldest)
 	}
 	r.crashes[incarnation] = at
 	return true
 }
 
+// oldestCrash returns the endpoint that crashed first.
+func (r *record) oldestCrash() identifier.EndpointIncarnation {
+	var oldest identifier.EndpointIncarnation
+	for incarnation, at := range r.crashes {
+		if oldest.Endpoint == "" || at.Before(r.crashes[oldest]) {
+			oldest = incarnation
+		}
+	}
+	return oldest
+}
+
 // counted returns the crashes that speak against the part at now.
 func (r *record) counted(now time.Time) crashSet {
 	out := make(crashSet)
