Forget a part six hours after its last crash

Parts were to be known for six hours (docs/DESIGN.md), but were removed only when thousands of others pushed them out: a part was refused, but for one test an hour, for as long as an instance lived. Found by reading. TestPartForgotten failed before.

--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -21,6 +21,7 @@
 func (q *Quarantiner) News(now time.Time) *messenger.Quarantine {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.expire(now)
 	return q.message(now, func(r *record) bool { return now.Sub(r.changedAt) <= newsPeriod })
 }
 
@@ -29,6 +30,7 @@
 func (q *Quarantiner) Reply(now time.Time, peer *messenger.Quarantine) *messenger.Quarantine {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.expire(now)
 	differs := peer.GetDigest() != q.digest()
 	return q.message(now, func(r *record) bool { return differs || now.Sub(r.changedAt) <= newsPeriod })
 }
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -298,10 +298,15 @@
 	return r
 }
 
-// evict removes the parts whose last crash is too long ago and, if these are too few, the
-// ones that crashed least recently of those that are not suspected.
-func (q *Quarantiner) evict(now time.Time) {
+// expire removes the parts whose last crash is too long ago.
+func (q *Quarantiner) expire(now time.Time) {
 	maps.DeleteFunc(q.records, func(_ identifier.Part, r *record) bool { return now.Sub(r.lastCrash()) > retention })
+}
+
+// evict makes room for more parts. It removes those whose last crash is too long ago and,
+// if these are too few, the ones that crashed least recently of those without a verdict.
+func (q *Quarantiner) evict(now time.Time) {
+	q.expire(now)
 	excess := len(q.records) - (maxRecords - evictBatch)
 	if excess <= 0 {
 		return
@@ -326,6 +331,7 @@
 	if age := now.Sub(q.judgedAt); q.verdicts != nil && age >= 0 && age < verdictAge {
 		return q.verdicts
 	}
+	q.expire(now)
 	old := q.verdicts
 	q.verdicts = judge(now, q.records)
 	q.judgedAt = now
--- a/router/quarantiner/quarantiner_test.go
+++ b/router/quarantiner/quarantiner_test.go
@@ -398,3 +398,23 @@
 		}
 	}
 }
+
+// TestPartForgotten guards against parts that are refused for ever although no endpoint
+// crashes under them any more.
+func TestPartForgotten(t *testing.T) {
+	f := newFleet(2)
+	for range 5 {
+		f.crash("i0", bad)
+	}
+	f.exchangeAll()
+	f.now = f.now.Add(7 * time.Hour)
+	f.exchangeAll()
+	for _, name := range f.names {
+		if got := f.instances[name].Verdicts(f.now); len(got) > 0 {
+			t.Errorf("%s: got verdicts %v seven hours after the last crash, want none", name, got)
+		}
+		if got := f.instances[name].News(f.now).GetDigest(); got != 0 {
+			t.Errorf("%s: got digest %d, want that of no records", name, got)
+		}
+	}
+}
