Write a condemned part to the store again when more endpoints crash under it

After the loss of all instances the part was known with the crashes that had condemned it first, and tested after one second and four although those tests had been made. Found by reading. TestLaterCrashesNotKept failed before.

--- a/router/quarantiner/keeper.go
+++ b/router/quarantiner/keeper.go
@@ -38,6 +38,7 @@
 	Readers func() []identifier.Instance
 	Log     logrus.FieldLogger
 
+	// saved is the evidence that was last written.
 	saved []string
 }
 
@@ -84,8 +85,8 @@
 		return
 	}
 	parts := q.Condemned(now)
-	names := namesOf(parts)
-	if slices.Equal(names, k.saved) {
+	evidence := evidenceOf(parts)
+	if slices.Equal(evidence, k.saved) {
 		return
 	}
 	if writer, _ := assigner.Owner(keeperPool, q.Live()); writer != q.Self {
@@ -95,14 +96,17 @@
 		k.Log.WithError(err).Warn("condemned parts not written to the store")
 		return
 	}
-	k.saved = names
+	k.saved = evidence
 }
 
-func namesOf(parts []*messenger.SuspectPart) []string {
-	var names []string
+// evidenceOf returns the parts and the endpoints that crashed under each, sorted.
+func evidenceOf(parts []*messenger.SuspectPart) []string {
+	var out []string
 	for _, p := range parts {
-		names = append(names, p.GetPart())
+		for _, c := range p.GetCrashes() {
+			out = append(out, p.GetPart()+" "+incarnationOf(c.GetEndpoint()).String())
+		}
 	}
-	slices.Sort(names)
-	return names
+	slices.Sort(out)
+	return out
 }
--- a/router/quarantiner/keeper_test.go
+++ b/router/quarantiner/keeper_test.go
@@ -87,3 +87,39 @@
 		})
 	})
 }
+
+// TestLaterCrashesNotKept guards against a condemned part that is tested too soon after
+// the loss of all instances, because the store has only the crashes that condemned it.
+func TestLaterCrashesNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.now = time.Now()
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		store := &archive{}
+		k := &quarantiner.Keeper{
+			Quarantiner: f.instances["i0"],
+			Archive:     store,
+			Readers:     func() []identifier.Instance { return f.names },
+			Log:         log,
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return k.Run(ctx) })
+		for range 3 {
+			f.crash("i0", bad)
+		}
+		time.Sleep(3 * time.Second)
+		f.now = time.Now()
+		f.crash("i0", bad)
+		f.crash("i0", bad)
+		time.Sleep(3 * time.Second)
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		if len(store.parts) != 1 || len(store.parts[0].GetCrashes()) != 5 {
+			t.Errorf("got %v kept, want one part with five crashes", store.parts)
+		}
+	})
+}
