Let only an answer to a newer request end the limit of a plain endpoint everywhere

An instance without a share of a limit asked the endpoint at once after a late answer to an older request, and did not log when the limit ended. Found by reading. What an endpoint names is now apart from the bucket that keeps to it (pacer.Named). TestLateAnswerEndsLimit failed before.

--- a/router/balancer/balancer.go
+++ b/router/balancer/balancer.go
@@ -48,6 +48,8 @@
 	failureRate       float64
 	consecutiveLosses int
 	avoidUntil        time.Time
+	// limit is the limit that the endpoint names.
+	limit pacer.Named
 	// pace keeps this instance's requests within its share of the endpoint's limit. An
 	// instance without a share sends nothing before closedUntil.
 	pace        pacer.Bucket
@@ -116,19 +118,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.record(incarnation)
-	if perSecond <= 0 {
-		changed := r.pace.Limit(now, sentAt, 0)
-		if changed || !r.closedUntil.IsZero() {
-			r.closedUntil = time.Time{}
-		}
+	changed := r.limit.Update(now, sentAt, perSecond)
+	if r.limit.PerSecond == 0 {
+		r.pace = pacer.Bucket{}
+		r.closedUntil = time.Time{}
 		return changed
 	}
+	if perSecond <= 0 {
+		// The answer to an older request.
+		return false
+	}
 	share, instances := b.share(incarnation, perSecond)
 	if share > 0 {
 		r.closedUntil = time.Time{}
-		return r.pace.Limit(now, sentAt, share)
+		r.pace.Limit(now, share)
+		return changed
 	}
-	changed := r.closedUntil.IsZero()
 	r.pace = pacer.Bucket{}
 	// Together the instances without a share ask about askedShare of the limit.
 	period := float64(instances) / (askedShare * perSecond)
--- a/router/balancer/limit_test.go
+++ b/router/balancer/limit_test.go
@@ -108,3 +108,22 @@
 		}
 	}
 }
+
+// TestLateAnswerEndsLimit guards against an answer to an older request that ends the limit
+// of an endpoint at an instance without a share of it.
+func TestLateAnswerEndsLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := endpoint("e")
+	for i, b := range instances(60) {
+		b.Limit(now, now, e.EndpointIncarnation, 0.5)
+		if b.Limit(now, now.Add(-time.Second), e.EndpointIncarnation, 0) {
+			t.Errorf("instance %d: the answer to an older request ended the limit", i)
+		}
+		if _, _, ok := b.Pick(now, []cataloguer.Endpoint{e}, "", nil); ok {
+			t.Errorf("instance %d: got the endpoint at once, want a wait", i)
+		}
+		if !b.Limit(now, now, e.EndpointIncarnation, 0) {
+			t.Errorf("instance %d: got no change as the limit ended, want one", i)
+		}
+	}
+}
--- a/router/pacer/pacer.go
+++ b/router/pacer/pacer.go
@@ -20,33 +20,21 @@
 	perSecond float64
 	available float64
 	updatedAt time.Time
-	// namedAt is when the limit was last named.
-	namedAt time.Time
 }
 
-// Limit records that the answer to a request that was sent at sentAt names a limit of
-// perSecond requests a second, or none if perSecond is 0. It reports whether the limit
-// changed. A limit ends with an answer that names none, unless the request was sent
-// before the limit was last named. A new limit starts without an unused request, because
-// the endpoint was sent more before.
-func (b *Bucket) Limit(now, sentAt time.Time, perSecond float64) bool {
-	rate := perSecond * usedShare
+// Limit sets how many requests a second the endpoint takes; 0 ends the limit. A new limit
+// starts without an unused request, because the endpoint was sent more before.
+func (b *Bucket) Limit(now time.Time, perSecond float64) {
 	if perSecond <= 0 {
-		if !b.Limited() || sentAt.Before(b.namedAt) {
-			return false
-		}
 		*b = Bucket{}
-		return true
+		return
 	}
 	if !b.Limited() {
 		b.updatedAt = now
 	}
 	b.refill(now)
-	changed := b.perSecond != rate
-	b.perSecond = rate
-	b.namedAt = now
+	b.perSecond = perSecond * usedShare
 	b.available = min(b.available, b.depth())
-	return changed
 }
 
 // Limited reports whether there is a limit.
--- a/router/pacer/pacer_test.go
+++ b/router/pacer/pacer_test.go
@@ -17,7 +17,7 @@
 		limit := rapid.Float64Range(0.05, 300).Draw(t, "limit")
 		now := time.Unix(1000, 0)
 		b := &pacer.Bucket{}
-		b.Limit(now, now, limit)
+		b.Limit(now, limit)
 		var sent []time.Time
 		for range 600 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
@@ -25,7 +25,7 @@
 				b.Take(now)
 				sent = append(sent, now)
 			}
-			b.Limit(now, now, limit)
+			b.Limit(now, limit)
 		}
 		first := 0
 		for i, at := range sent {
@@ -43,7 +43,7 @@
 func TestWaitIsTrue(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := &pacer.Bucket{}
-	b.Limit(now, now, 0.5)
+	b.Limit(now, 0.5)
 	wait := b.Wait(now)
 	if wait <= 0 || wait > 3*time.Second {
 		t.Fatalf("got a wait of %v at the start, want up to 3s", wait)
@@ -58,16 +58,19 @@
 func TestLimitEnds(t *testing.T) {
 	start := time.Unix(1000, 0)
 	named := start.Add(time.Second)
-	b := &pacer.Bucket{}
-	if !b.Limit(named, named, 3) {
+	n := &pacer.Named{}
+	if !n.Update(named, named, 3) {
 		t.Error("got no change for a new limit, want one")
 	}
-	if b.Limit(named, start, 0) || !b.Limited() {
+	if n.Update(named, start, 0) || n.PerSecond != 3 {
 		t.Error("the answer to an older request ended the limit")
 	}
-	if !b.Limit(named.Add(time.Second), named.Add(time.Millisecond), 0) || b.Limited() {
+	if !n.Update(named.Add(time.Second), named.Add(time.Millisecond), 0) || n.PerSecond != 0 {
 		t.Error("the limit did not end with an answer that names none")
 	}
+	b := &pacer.Bucket{}
+	b.Limit(named, 3)
+	b.Limit(named, 0)
 	if got := b.Wait(named); got != 0 {
 		t.Errorf("got a wait of %v without a limit, want none", got)
 	}
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -91,7 +91,7 @@
 	if p.runner(incarnation) == nil && perSecond <= 0 {
 		return
 	}
-	p.state(incarnation).pace.Limit(now, now, perSecond)
+	p.state(incarnation).pace.Limit(now, perSecond)
 	p.forget(incarnation)
 }
 
