Tell the pool's owner of a limit again while it is named

An entry told the owner of a limit only when the number changed there, so that a limit that ended and came back with the same number stayed unknown to the owner until an entry that had seen its end told it. Now it is told once a second. TestSameLimitReportedAgain shows the rule (no such rule existed, so that it could not fail before); the acquirer's own copy of the rule for late answers is gone.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"heatherhold.dev/router/batcher"
 	"heatherhold.dev/router/dialer"
 	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/pacer"
 	"heatherhold.dev/router/publisher"
 )
 
@@ -49,13 +51,7 @@
 	waiting map[identifier.Request]*waiter
 	tickets map[identifier.Request]*Ticket
 	// limits holds the limits that endpoints named, in requests a second.
-	limits map[identifier.EndpointIncarnation]namedLimit
-}
-
-// namedLimit is the limit that an endpoint named, and when it last did.
-type namedLimit struct {
-	perSecond float64
-	namedAt   time.Time
+	limits map[identifier.EndpointIncarnation]*pacer.Named
 }
 
 // waiter is a request that has no ticket yet.
@@ -125,7 +121,7 @@
 		out:     batcher.New[func(*messenger.ToOwner)](),
 		waiting: make(map[identifier.Request]*waiter),
 		tickets: make(map[identifier.Request]*Ticket),
-		limits:  make(map[identifier.EndpointIncarnation]namedLimit),
+		limits:  make(map[identifier.EndpointIncarnation]*pacer.Named),
 	}
 	a.pools[s] = p
 	a.newPools.Add(p)
@@ -208,36 +204,37 @@
 // first of a chain, according to its answer to a request that was sent at sentAt; 0 if
 // the answer names no limit. It reports whether the limit changed.
 func (t *Ticket) ReportLimit(now, sentAt time.Time, incarnation identifier.EndpointIncarnation, perSecond float64) bool {
-	if t.pool == nil || !t.pool.setLimit(now, sentAt, incarnation, perSecond) {
+	if t.pool == nil {
 		return false
 	}
-	t.pool.out.Add(func(m *messenger.ToOwner) { m.Limits = append(m.Limits, limitOf(incarnation, perSecond)) })
-	return true
+	changed, report := t.pool.updateLimit(now, sentAt, incarnation, perSecond)
+	if report {
+		t.pool.out.Add(func(m *messenger.ToOwner) { m.Limits = append(m.Limits, limitOf(incarnation, perSecond)) })
+	}
+	return changed
 }
 
-// setLimit records a limit and reports whether the owner must be told. An answer to a
-// request that was sent before the limit was named does not end it.
-func (p *pool) setLimit(now, sentAt time.Time, incarnation identifier.EndpointIncarnation, perSecond float64) bool {
+// updateLimit records a limit. It returns whether it changed and whether the owner is to
+// be told.
+func (p *pool) updateLimit(now, sentAt time.Time, incarnation identifier.EndpointIncarnation, perSecond float64) (changed, report bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old, ok := p.limits[incarnation]
-	if perSecond <= 0 {
-		if !ok || sentAt.Before(old.namedAt) {
-			return false
-		}
-		delete(p.limits, incarnation)
-		return true
-	}
-	for other, l := range p.limits {
-		if now.Sub(l.namedAt) > limitRetention {
-			delete(p.limits, other)
+	limit, ok := p.limits[incarnation]
+	if !ok {
+		if perSecond <= 0 {
+			return false, false
 		}
+		maps.DeleteFunc(p.limits, func(_ identifier.EndpointIncarnation, l *pacer.Named) bool { return l.Age(now) > limitRetention })
+		limit = &pacer.Named{}
+		p.limits[incarnation] = limit
 	}
-	p.limits[incarnation] = namedLimit{
-		perSecond: perSecond,
-		namedAt:   now,
+	changed = limit.Update(now, sentAt, perSecond)
+	if limit.PerSecond == 0 {
+		delete(p.limits, incarnation)
+		return changed, changed
 	}
-	return old.perSecond != perSecond
+	// A late answer that names no limit is not reported.
+	return changed, perSecond > 0 && limit.Report(now)
 }
 
 // limitRetention is how long a limit is reported to a new owner after it was last named.
@@ -319,7 +316,7 @@
 	defer p.mu.Unlock()
 	p.owner = owner
 	for incarnation, l := range p.limits {
-		m.Limits = append(m.Limits, limitOf(incarnation, l.perSecond))
+		m.Limits = append(m.Limits, limitOf(incarnation, l.PerSecond))
 	}
 	for _, w := range p.waiting {
 		m.Asks = append(m.Asks, w.ask)
--- a/router/pacer/pacer_test.go
+++ b/router/pacer/pacer_test.go
@@ -75,3 +75,23 @@
 		t.Errorf("got a wait of %v without a limit, want none", got)
 	}
 }
+
+// TestSameLimitReportedAgain guards against a limit that others lost, or saw the end of,
+// and are not told again because its number did not change here.
+func TestSameLimitReportedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := &pacer.Named{}
+	n.Update(now, now, 3)
+	if !n.Report(now) || n.Report(now) {
+		t.Error("want one report of a new limit")
+	}
+	now = now.Add(2 * time.Second)
+	n.Update(now, now, 3)
+	if !n.Report(now) {
+		t.Error("got no report of a limit that is named again after two seconds, want one")
+	}
+	n.Update(now, now, 4)
+	if !n.Report(now) {
+		t.Error("got no report of a changed limit, want one")
+	}
+}
