Parse a plain response once, compare the reason of a failed stage in one place

Found by reading the whole change: headers were parsed twice for each plain response, a field repeated what the reason says, and a check could not fail.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -54,8 +54,6 @@
 type stageError struct {
 	incarnation identifier.EndpointIncarnation
 	detail      string
-	// unresponsive is set if the endpoint did not respond to a probe.
-	unresponsive bool
 }
 
 // Error returns the stage and the reason for its failure.
@@ -120,9 +118,6 @@
 		x.log(a.stream.job).WithError(info.LimitError).Warn("limit of an endpoint not understood")
 		return
 	}
-	if !info.Matches {
-		return
-	}
 	a.mu.Lock()
 	ticket := a.ticket
 	a.mu.Unlock()
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -82,7 +82,7 @@
 func (x *Proxier) crashed(ctx context.Context, a *attempt, err error) bool {
 	var stage *stageError
 	if errors.As(err, &stage) {
-		return stage.unresponsive
+		return stage.detail == reasonUnresponsive
 	}
 	if !errors.Is(err, exchanger.ErrLost) {
 		return false
--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -185,13 +185,13 @@
 		p.proxier.Exchanger.CloseIdle(e.Address)
 		return nil, err
 	}
-	p.recordLimit(sentAt, e, response)
-	return p.read(response)
+	info := p.proxier.Codec.ParseResponse(p.job.Request, response.Status, response.Header)
+	p.recordLimit(sentAt, e, info)
+	return p.read(response, info)
 }
 
 // recordLimit records the limit that the endpoint names in its response.
-func (p *plainRequest) recordLimit(sentAt time.Time, e cataloguer.Endpoint, response *exchanger.Response) {
-	info := p.proxier.Codec.ParseResponse(p.job.Request, response.Status, response.Header)
+func (p *plainRequest) recordLimit(sentAt time.Time, e cataloguer.Endpoint, info courier.ResponseMetadata) {
 	if info.LimitError != nil {
 		p.proxier.log(p.job).WithError(info.LimitError).WithField("endpoint", e.Endpoint).Warn("limit of an endpoint not understood")
 		return
@@ -231,8 +231,7 @@
 }
 
 // read reads the whole response.
-func (p *plainRequest) read(response *exchanger.Response) (*completeResponse, error) {
-	info := p.proxier.Codec.ParseResponse(p.job.Request, response.Status, response.Header)
+func (p *plainRequest) read(response *exchanger.Response, info courier.ResponseMetadata) (*completeResponse, error) {
 	if info.NotRun {
 		return nil, discardRefusal(response, info.IdleTimeout)
 	}
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -277,9 +277,8 @@
 	attempts := x.activeAttempts(func(a *attempt) bool { return a.passesThrough(incarnation) })
 	x.Log.WithField("endpoint", incarnation.Endpoint).WithField("reason", detail).WithField("streams", len(attempts)).Warn("endpoint given up for its streams")
 	x.rerouteAll(ctx, attempts, &stageError{
-		incarnation:  incarnation,
-		detail:       detail,
-		unresponsive: detail == reasonUnresponsive,
+		incarnation: incarnation,
+		detail:      detail,
 	})
 }
 
