Log what is set aside or left out of the parts and limits; name it plainly

Four things were dropped without a line: limits that are no numbers and parts with invalid names from peers, crashes that find no room, parts that don't fit into the row. Comments of the quarantiner say what clears a part and what counts against it.

--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -10,6 +10,7 @@
 	"math"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/identifier"
@@ -200,7 +201,9 @@
 	}
 	g.refresh(p)
 	for _, l := range m.GetLimits() {
-		p.setLimit(now, l, g.Publisher.View().Instances())
+		if err := p.setLimit(now, l, g.Publisher.View().Instances()); err != nil {
+			g.Log.WithError(err).WithField("endpoint", l.GetEndpoint().GetEndpoint()).Warn("limit reported by an instance set aside")
+		}
 	}
 	for _, h := range m.GetHeld() {
 		ticket := activeTicketOf(h)
@@ -229,10 +232,10 @@
 
 // setLimit applies an endpoint's limit. A pool that an entry schedules alone gets the
 // share of one of n instances.
-func (p *pool) setLimit(now time.Time, l *messenger.EndpointLimit, n int) {
+func (p *pool) setLimit(now time.Time, l *messenger.EndpointLimit, n int) error {
 	perSecond := l.GetPerSecond()
-	if !(perSecond >= 0) || math.IsInf(perSecond, 0) {
-		return
+	if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return errors.Errorf("want a number of 0 or more, got %v", perSecond)
 	}
 	if p.key.Standalone {
 		perSecond /= float64(n)
@@ -241,6 +244,7 @@
 		Endpoint:    identifier.Endpoint(l.GetEndpoint().GetEndpoint()),
 		Incarnation: identifier.Incarnation(l.GetEndpoint().GetIncarnation()),
 	}, perSecond)
+	return nil
 }
 
 func (p *pool) dropRequest(r identifier.Request) {
--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -83,7 +83,11 @@
 // mergePart merges a report about one part and reports whether it was news.
 func (q *Quarantiner) mergePart(now time.Time, p *messenger.SuspectPart) bool {
 	part := identifier.Part(p.GetPart())
-	if part == "" || len(part) > maxPartBytes || !recent(p) {
+	if part == "" || len(part) > maxPartBytes {
+		q.Log.WithField("bytes", len(part)).Warn("report of a part with an invalid name set aside")
+		return false
+	}
+	if !recent(p) {
 		return false
 	}
 	r := q.record(now, part)
@@ -102,7 +106,7 @@
 	changed = changed || answered.id != r.answered.id || released.id != r.released.id
 	if changed {
 		r.changedAt = now
-		q.speakFor(now, part, r)
+		q.reportAnswer(now, part, r)
 	}
 	return changed
 }
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -102,10 +102,10 @@
 	return p, nil
 }
 
-// suspects returns those of the parts that something speaks against, and the verdict
+// suspects returns those of the parts that are suspected or condemned, and the verdict
 // that applies to a request with all of them: that on the first, with the latest time of
-// a test. An answer to a request with several suspected parts speaks for all, but a crash
-// tells them apart no better, so that such a request is tested late.
+// a test. An answer to a request with several suspected parts clears all, but a crash does
+// not tell them apart, so that such a request is tested late.
 func (q *Quarantiner) suspects(now time.Time, parts []identifier.Part) ([]identifier.Part, Verdict) {
 	verdicts := q.judge(now)
 	var out []identifier.Part
@@ -130,7 +130,7 @@
 }
 
 // explained reports whether one of the parts would be suspected if another one did not
-// explain its crashes. A crash of a test with it would say nothing about the other.
+// explain its crashes. A crash of a test with it would not tell the two apart.
 func (q *Quarantiner) explained(now time.Time, parts []identifier.Part) bool {
 	return slices.ContainsFunc(parts, func(part identifier.Part) bool {
 		r, ok := q.records[part]
@@ -207,7 +207,7 @@
 			continue
 		}
 		r.changedAt = now
-		q.speakFor(now, part, r)
+		q.reportAnswer(now, part, r)
 		news = true
 	}
 	q.mu.Unlock()
@@ -221,16 +221,16 @@
 	for _, part := range parts {
 		q.answers.add(now, part)
 		if r, ok := q.records[part]; ok {
-			news = q.speakFor(now, part, r) || news
+			news = q.reportAnswer(now, part, r) || news
 		}
 	}
 	q.mu.Unlock()
 	q.announce(news)
 }
 
-// speakFor reports the last answer under a part, unless a recent one is known. It returns
-// whether it did.
-func (q *Quarantiner) speakFor(now time.Time, part identifier.Part, r *record) bool {
+// reportAnswer adds the last answer under a part to its record, unless the record has a
+// recent one. It returns whether it did.
+func (q *Quarantiner) reportAnswer(now time.Time, part identifier.Part, r *record) bool {
 	at, ok := q.answers.last(part)
 	if !ok || (r.answered.id != 0 && at.Sub(r.answered.at) < answerRefresh) {
 		return false
@@ -260,7 +260,7 @@
 	return ok
 }
 
-// Verdicts returns the verdicts on all parts that something speaks against.
+// Verdicts returns the verdicts on all parts that are suspected or condemned.
 func (q *Quarantiner) Verdicts(now time.Time) map[identifier.Part]Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -291,6 +291,7 @@
 		q.evict(now)
 	}
 	if len(q.records) >= maxRecords {
+		q.Log.WithField("part", part).Warn("crash not recorded; too many parts are suspected")
 		return nil
 	}
 	r := &record{crashes: make(map[identifier.EndpointIncarnation]time.Time)}
--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// answerWindow is how long before a crash an answer under a part still speaks for
-	// the part.
+	// answerWindow is how long before a crash an answer under a part still clears
+	// the part of it.
 	answerWindow = 30 * time.Second
-	// SettleTime is the age from which a crash counts, because what speaks for the part
-	// may still be on its way from another instance.
+	// SettleTime is the age from which a crash counts, because an answer that clears the
+	// part may still be on its way from another instance.
 	SettleTime = 400 * time.Millisecond
 	// suspectedCrashes is the number of crashes from which requests with a part are sent
 	// one at a time, and condemnedCrashes that from which they are refused.
@@ -106,7 +106,7 @@
 	return oldest
 }
 
-// counted returns the crashes that speak against the part at now.
+// counted returns the crashes that count against the part at now.
 func (r *record) counted(now time.Time) crashSet {
 	out := make(crashSet)
 	for incarnation, at := range r.crashes {
@@ -170,8 +170,7 @@
 	return true
 }
 
-// judge returns the verdicts on the parts of records, without the parts that nothing
-// speaks against. A crash counts against one part only: if a part is condemned, the
+// judge returns the verdicts on the parts of records that are suspected or condemned. A crash counts against one part only: if a part is condemned, the
 // crashes under it don't count against the other parts of the same requests. A part is
 // only suspected while another part explains all of its crashes as well.
 func judge(now time.Time, records map[identifier.Part]*record) map[identifier.Part]Verdict {
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -163,6 +163,7 @@
 			Store: store,
 			Table: partsTable,
 			Key:   condemnedKey,
+			Log:   log,
 		},
 		Readers: func() []identifier.Instance { return pub.View().Readers },
 		Log:     log,
