Refuse an operators' key hash that is none at the start

operator.key-sha256 = "zz" was taken, and then no key worked, without a word. Found by trying bad input. TestInvalidSettings failed before on the new case.

--- a/router/loader/loader.go
+++ b/router/loader/loader.go
@@ -3,10 +3,13 @@
 package loader
 
 import (
+	"crypto/sha256"
 	_ "embed"
+	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -202,6 +205,13 @@
 	}
 }
 
+// hash checks a SHA-256 hash in hexadecimal digits, which may be missing.
+func (c *checker) hash(key, text string) {
+	b, err := hex.DecodeString(text)
+	valid := err == nil && len(b) == sha256.Size && text == strings.ToLower(text)
+	c.want(text == "" || valid, key, "want 64 hexadecimal digits in lower case, got %q", text)
+}
+
 func (c *checker) between(key string, d identifier.Duration, low, high time.Duration) {
 	c.want(d.Std() >= low && d.Std() <= high, key, "want %v to %v, got %v", low, high, d.Std())
 }
@@ -250,6 +260,7 @@
 	c.between("caller.write-timeout", s.Caller.WriteTimeout, minDuration, time.Hour)
 	c.pair("caller", s.Caller.Certificate, s.Caller.Key)
 	c.pair("operator", s.Operator.Certificate, s.Operator.Key)
+	c.hash("operator.key-sha256", s.Operator.KeySHA256)
 	c.want(s.Trace.Sample >= 0 && s.Trace.Sample <= 1, "trace.sample", "want 0 to 1, got %v", s.Trace.Sample)
 	c.between("stop.notice", s.Stop.Notice, 0, maxNotice)
 	c.between("stop.finish", s.Stop.Finish, 0, 24*time.Hour)
--- a/router/loader/loader_test.go
+++ b/router/loader/loader_test.go
@@ -101,6 +101,7 @@
 		"[caller]\nbody-limit = 0":             ":2: caller.body-limit:",
 		"[caller]\nkey = \"x\"":                ":2: caller.key: certificate and key must be set together",
 		"log-format = \"xml\"":                 ":1: log-format: want",
+		"[operator]\nkey-sha256 = \"zz\"":      ":2: operator.key-sha256: want 64 hexadecimal digits in lower case",
 		"instance = \"a\"\ninstance = \"b\"\n": ":2:",
 	} {
 		path := filepath.Join(t.TempDir(), "s.toml")
