Ask the store for condemned parts less often while it fails; replace a damaged row

After a start during an outage of the store each instance read twice a second without end, and a row that is not understood kept an instance from ever writing one. Found by starting a router with no store behind the address. A reader tries once a second, others every 10 s; a damaged row is logged and replaced. TestStoreAskedAgainDuringOutage (120 reads a minute) and TestUnreadableArchive (20 reads, nothing kept) failed before.

--- a/router/quarantiner/keeper.go
+++ b/router/quarantiner/keeper.go
@@ -5,10 +5,12 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/platform/archiver"
 	"heatherhold.dev/router/assigner"
 )
 
@@ -18,12 +20,19 @@
 	// peerWait is how long a new instance waits for peers that know what is kept before it
 	// reads that itself.
 	peerWait = 2 * time.Second
+	// minLoadPause is the pause after a failed read of the archive. It doubles with each
+	// further failure, up to maxLoadPause or, at the first reader of a site, from which the
+	// others learn what is kept, maxReaderPause.
+	minLoadPause   = 500 * time.Millisecond
+	maxLoadPause   = 10 * time.Second
+	maxReaderPause = time.Second
 )
 
 // keeperPool is the name under which the instance that writes is chosen.
 const keeperPool = identifier.Service("quarantine-keeper\x00")
 
-// Archive keeps condemned parts where the loss of all instances does not reach.
+// Archive keeps condemned parts where the loss of all instances does not reach. Load
+// returns archiver.ErrUnreadable if what is kept is not understood.
 type Archive interface {
 	Load(ctx context.Context) ([]*messenger.SuspectPart, error)
 	Save(ctx context.Context, parts []*messenger.SuspectPart) error
@@ -40,6 +49,10 @@
 
 	// saved is the evidence that was last written.
 	saved []string
+	// loadAfter is the time from which the archive may be read again after a failure, and
+	// loadPause the last pause.
+	loadAfter time.Time
+	loadPause time.Duration
 }
 
 // Run keeps the archive up to date until ctx ends.
@@ -62,16 +75,27 @@
 // first reader of the instance's site does; the others learn it from peers.
 func (k *Keeper) load(ctx context.Context, now time.Time, alone bool) {
 	q := k.Quarantiner
-	if q.Complete() {
+	if q.Complete() || now.Before(k.loadAfter) {
 		return
 	}
 	readers := k.Readers()
-	if !alone && (len(readers) == 0 || readers[0] != q.Self) {
+	reader := len(readers) > 0 && readers[0] == q.Self
+	if !alone && !reader {
 		return
 	}
 	parts, err := k.Archive.Load(ctx)
+	if errors.Is(err, archiver.ErrUnreadable) {
+		k.Log.WithError(err).Error("condemned parts in the store not understood; they are replaced")
+		err = nil
+	}
 	if err != nil {
 		k.Log.WithError(err).Warn("condemned parts not read from the store")
+		longest := maxLoadPause
+		if reader {
+			longest = maxReaderPause
+		}
+		k.loadPause = min(max(2*k.loadPause, minLoadPause), longest)
+		k.loadAfter = now.Add(k.loadPause)
 		return
 	}
 	q.Restore(now, parts)
--- a/router/quarantiner/keeper_test.go
+++ b/router/quarantiner/keeper_test.go
@@ -8,11 +8,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/platform/archiver"
 	"heatherhold.dev/router/quarantiner"
 )
 
@@ -22,13 +24,15 @@
 	parts []*messenger.SuspectPart
 	loads int
 	saves int
+	// err is the error of Load, if set.
+	err error
 }
 
 func (a *archive) Load(context.Context) ([]*messenger.SuspectPart, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.loads++
-	return a.parts, nil
+	return a.parts, a.err
 }
 
 func (a *archive) Save(_ context.Context, parts []*messenger.SuspectPart) error {
@@ -123,3 +127,61 @@
 		}
 	})
 }
+
+// runAlone runs the keeper of an instance without peers for some time.
+func runAlone(t *testing.T, f *fleet, store *archive, reader identifier.Instance, d time.Duration) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	k := &quarantiner.Keeper{
+		Quarantiner: f.instances["i0"],
+		Archive:     store,
+		Readers:     func() []identifier.Instance { return []identifier.Instance{reader} },
+		Log:         log,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	if err := k.Run(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestStoreAskedAgainDuringOutage guards against calls of each instance to a store that is
+// down, twice a second.
+func TestStoreAskedAgainDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for reader, want := range map[identifier.Instance]struct{ least, most int }{
+			"i0": {
+				least: 30,
+				most:  61,
+			},
+			"other": {
+				least: 4,
+				most:  12,
+			},
+		} {
+			store := &archive{err: errors.New("the store is down")}
+			runAlone(t, newFleet(1), store, reader, time.Minute)
+			if store.loads < want.least || store.loads > want.most {
+				t.Errorf("reader %s: got %d reads of i0 in a minute while the store is down, want %d to %d", reader, store.loads, want.least, want.most)
+			}
+		}
+	})
+}
+
+// TestUnreadableArchive guards against an instance that keeps no condemned part any more
+// because what is kept is not understood.
+func TestUnreadableArchive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.now = time.Now()
+		for range 3 {
+			f.crash("i0", bad)
+		}
+		store := &archive{err: errors.Wrap(archiver.ErrUnreadable, "unexpected end")}
+		runAlone(t, f, store, "i0", 10*time.Second)
+		if store.loads != 1 || len(store.parts) != 1 {
+			t.Errorf("got %d reads and %v kept, want one read, and the condemned part", store.loads, store.parts)
+		}
+	})
+}
