Read the era of the platform's store; log and count its restorations

No line or metric told of which history of the store a response was. The client reads Store-Era from each response: a newer one is logged and counted once an instance, a response of an older one is late and not used, one that is missing or unreadable counts as the last one known and is logged once a run. Nothing compares by it yet.

--- a/core/identifier/identifier.go
+++ b/core/identifier/identifier.go
@@ -46,6 +46,9 @@
 	Tokens int64
 	// Fence is a fencing token: endpoints that check it refuse older ones.
 	Fence uint64
+	// Era numbers the histories of the platform's store: it is greater after each
+	// restoration from an older copy. It is 0 if the platform states none.
+	Era uint64
 )
 
 // Tier distinguishes paying work from free-tier work.
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -115,6 +115,11 @@
 	r.set.GetOrCreateHistogram(fmt.Sprintf(`heatherhold_store_call_seconds{call=%q}`, name)).Update(d.Seconds())
 }
 
+// CountRestoration counts a restoration of the platform's store from an older copy.
+func (r *Reporter) CountRestoration() {
+	r.set.GetOrCreateCounter("heatherhold_store_restorations_total").Inc()
+}
+
 // RecordRound records a round of decisions of a pool that this instance owns: the time
 // that it took, and the number of requests that wait after it.
 func (r *Reporter) RecordRound(s identifier.Service, d time.Duration, waiting int) {
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -85,11 +85,18 @@
 	fx.Invoke(wireStoreController, registerGauges, registerStoreDaemon),
 )
 
-func newStore(s *loader.Settings, p *reporter.Reporter) *storer.Client {
+func newStore(s *loader.Settings, p *reporter.Reporter, log logrus.FieldLogger) *storer.Client {
 	return &storer.Client{
 		Address: s.Store.Address,
 		Timeout: s.Platform.Timeout.Std(),
 		Observe: p.RecordStoreCall,
+		OnRestored: func(old, era identifier.Era) {
+			p.CountRestoration()
+			log.WithField("old-era", old).WithField("era", era).Warn("platform store restored from an older copy")
+		},
+		OnUnclearEra: func(err error) {
+			log.WithError(err).Warn("era of the platform store not known; responses count as of the last one")
+		},
 	}
 }
 
@@ -226,13 +233,14 @@
 
 // registerGauges registers the metrics whose values are read when metrics are
 // written.
-func registerGauges(p *reporter.Reporter, pub *publisher.Publisher, r *receiver.Receiver, q *quarantiner.Quarantiner, sh *sharer.Sharer, w *logger.Writer) {
+func registerGauges(p *reporter.Reporter, pub *publisher.Publisher, r *receiver.Receiver, q *quarantiner.Quarantiner, store *storer.Client, sh *sharer.Sharer, w *logger.Writer) {
 	for _, table := range []string{translator.ConfigurationTable, translator.EndpointsTable} {
 		p.Gauge(fmt.Sprintf(`heatherhold_news_age_seconds{table=%q}`, table), func() float64 { return sh.Age(table).Seconds() })
 		p.Gauge(fmt.Sprintf(`heatherhold_reads_store{table=%q}`, table), func() float64 { return boolValue(sh.Source(table) == "") })
 	}
 	p.Gauge(`heatherhold_quarantined_parts{verdict="suspected"}`, func() float64 { return float64(q.Count(time.Now(), false)) })
 	p.Gauge(`heatherhold_quarantined_parts{verdict="condemned"}`, func() float64 { return float64(q.Count(time.Now(), true)) })
+	p.Gauge("heatherhold_store_era", func() float64 { return float64(store.History().Era) })
 	p.Gauge("heatherhold_active_requests", func() float64 { return float64(r.Active()) })
 	p.Gauge("heatherhold_revision", func() float64 { return float64(pub.View().Revision) })
 	p.Gauge("heatherhold_live_instances", func() float64 { return float64(len(pub.View().Live)) })
