Let followers ask a reader once more before they ask the store after an outage

What was seen: 600 calls to the store in the 4 s after a restoration at 195 instances and 5,268 at 1,744 (TestStoreStormAfterRestoration, an outage of 2 s; bound: less than one call an instance beyond the readers'). Cause: instances that the outage sent to the store left it alone for the same 2 s and came back at one moment, when the pause of 1 s of the readers without news had not ended, although readers had news by then. Now a reader is asked again before the store, and the pause is another one for each instance: the test passes.

--- a/router/sharer/chooser.go
+++ b/router/sharer/chooser.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherhold.dev/core/identifier"
 )
 
@@ -10,13 +12,17 @@
 	// unavailablePause is how long an instance is not asked after it said that it has
 	// no recent copy.
 	unavailablePause = time.Second
+	// recheckPause is how soon it may be asked again before the store is asked instead.
+	recheckPause = 200 * time.Millisecond
 	// silentPause is how long an instance is not asked after it did not answer. It
 	// doubles with each further time, up to maxDoublings times.
 	silentPause    = time.Second
 	maxDoublings   = 3
 	maxSilentPause = silentPause << maxDoublings
 	// storePause is how long an instance that is not a reader leaves the store alone
-	// after a call failed, so that an outage is not answered by calls of them all.
+	// after a call failed, so that an outage is not answered by calls of them all. Up to as
+	// long again is added, another time for each instance, so that they do not all come
+	// back at one moment.
 	storePause = 2 * time.Second
 	// maxSilent is how many instances in a row may be silent before the store is asked:
 	// then the fault may be this instance's own connection to its peers.
@@ -31,6 +37,9 @@
 	storePausedUntil time.Time
 	// silent is the number of instances in a row that did not answer.
 	silent int
+	// rechecked is set once a reader without a recent copy was asked again, since the last
+	// success or failure of the store.
+	rechecked bool
 }
 
 // pause is why an instance is not asked.
@@ -56,12 +65,32 @@
 			return r, true
 		}
 	}
+	if r, ok := c.recheck(now, self, readers); ok && !isReader && !storePaused {
+		c.rechecked = true
+		return r, true
+	}
 	return "", isReader || !storePaused
 }
 
+// recheck returns the first reader that had no recent copy, unless one was asked again
+// already. After an outage readers have news before those that follow them; without asking
+// them again, each instance would ask the store.
+func (c *Chooser) recheck(now time.Time, self identifier.Instance, readers []identifier.Instance) (identifier.Instance, bool) {
+	if c.rechecked {
+		return "", false
+	}
+	for _, r := range readers {
+		if p, ok := c.pauses[r]; ok && r != self && p.silent == 0 && p.until.Sub(now) <= unavailablePause-recheckPause {
+			return r, true
+		}
+	}
+	return "", false
+}
+
 // Succeeded records that a source has answered with news; "" is the store.
 func (c *Chooser) Succeeded(source identifier.Instance) {
 	c.silent = 0
+	c.rechecked = false
 	if source == "" {
 		c.storePausedUntil = time.Time{}
 		return
@@ -85,10 +114,12 @@
 	})
 }
 
-// StoreFailed records that a call to the store failed.
-func (c *Chooser) StoreFailed(now time.Time) {
+// StoreFailed records that self's call to the store failed.
+func (c *Chooser) StoreFailed(now time.Time, self identifier.Instance) {
 	c.silent = 0
-	c.storePausedUntil = now.Add(storePause)
+	c.rechecked = false
+	spread := time.Duration(xxhash.Sum64String(string(self)) % uint64(storePause))
+	c.storePausedUntil = now.Add(storePause + spread)
 }
 
 // set sets the pause of a source, and forgets those that ended long ago.
--- a/router/sharer/sharer.go
+++ b/router/sharer/sharer.go
@@ -164,7 +164,7 @@
 		return page, err
 	}
 	if err != nil {
-		t.chooser.StoreFailed(time.Now())
+		t.chooser.StoreFailed(time.Now(), s.Self)
 		t.update("", func(c *Copy) { c.Fail(time.Now()) })
 		return page, err
 	}
--- a/router/sharer/sharer_test.go
+++ b/router/sharer/sharer_test.go
@@ -210,3 +210,38 @@
 		}
 	})
 }
+
+// TestStoreStormAfterRestoration guards against instances that all ask the store when it is
+// back from an older copy, or all read the whole table from it.
+func TestStoreStormAfterRestoration(t *testing.T) {
+	for _, size := range []struct{ instances, sites int }{{9, 3}, {60, 3}, {195, 5}, {1744, 12}} {
+		for _, outage := range []time.Duration{0, 2 * time.Second, 3 * time.Second} {
+			t.Run(fmt.Sprintf("%d-%v", size.instances, outage), func(t *testing.T) {
+				f := newFleet(size.instances, size.sites)
+				play(t, f, func(t *testing.T) {
+					time.Sleep(5 * time.Second)
+					f.store.commit("e1", true)
+					f.set(func() { f.storeDown = outage > 0 })
+					time.Sleep(outage)
+					f.store.restore(9 * time.Second)
+					before := f.store.totalCalls()
+					f.set(func() { f.storeDown = false })
+					f.store.commit("e2", true)
+					const bound = 4 * time.Second
+					time.Sleep(bound)
+					for _, i := range f.instances {
+						if !i.upToDate() {
+							t.Errorf("%s is not up to date %v after the restoration", i.name, bound)
+						}
+					}
+					// A reader asks once for each pollWait, twice after a failure, and reads the
+					// whole table once; the others together ask less than once each.
+					want := size.sites*(int(bound/pollWait)+3) + size.instances - 1
+					if got := f.store.totalCalls() - before; got > want {
+						t.Errorf("got %d calls, want %d at most", got, want)
+					}
+				})
+			})
+		}
+	}
+}
