Keep the placement lease to one holder when the store loses its row

What could be seen: two instances order layers at once, and endpoints that compare fences refuse the holder's orders or take an old one's. Cause: a lost row looked free while its holder acted on it, the row's version alone was the fence, and a late write under a version that was given out again could replace a newer holder's row.

--- a/router/reconciler/reconciler.go
+++ b/router/reconciler/reconciler.go
@@ -26,6 +26,8 @@
 	// is guaranteed to be held, by this process's monotonic clock, and the lease's
 	// fencing token.
 	Acquire(ctx context.Context) (time.Time, identifier.Fence, error)
+	// Valid reports whether the lease is held and its row was not lost meanwhile.
+	Valid() bool
 }
 
 // Orderer sends placement orders to endpoints and reads their reports.
@@ -61,7 +63,6 @@
 	// recentOrders has the order that was recently planned for each endpoint, even if
 	// it was not sent.
 	recentOrders     map[identifier.EndpointIncarnation]plannedOrder
-	leaseExpiry      time.Time
 	fence            identifier.Fence
 	lastLeaseFailure time.Time
 	// fleetSizes has, for each service, the number of its endpoints and the time
@@ -228,13 +229,13 @@
 // lease if necessary.
 func (r *Reconciler) holdLease(ctx context.Context) bool {
 	now := time.Now()
-	if now.Before(r.leaseExpiry) {
+	if r.Lease.Valid() {
 		return true
 	}
 	if now.Sub(r.lastLeaseFailure) < leaseRetryInterval {
 		return false
 	}
-	until, fence, err := r.Lease.Acquire(ctx)
+	_, fence, err := r.Lease.Acquire(ctx)
 	if err != nil {
 		r.lastLeaseFailure = now
 		if !errors.Is(err, director.ErrLeaseHeld) {
@@ -245,9 +246,8 @@
 	if fence != r.fence {
 		r.Log.WithField("fence", fence).Info("lease for placement orders taken")
 	}
-	r.leaseExpiry = until
 	r.fence = fence
-	return now.Before(until)
+	return r.Lease.Valid()
 }
 
 // placeOrder sends one order to an endpoint that is not busy, if the lease is still held.
@@ -258,7 +258,7 @@
 		log.WithError(err).Warn("endpoint not asked for its state; no order given")
 		return
 	}
-	if report.Busy || !time.Now().Before(r.leaseExpiry) {
+	if report.Busy || !r.Lease.Valid() {
 		return
 	}
 	err = r.Orderer.Place(ctx, director.Placement{
--- a/router/reconciler/reconciler_test.go
+++ b/router/reconciler/reconciler_test.go
@@ -55,6 +55,14 @@
 	return p.expiry, 1, nil
 }
 
+// Valid reports whether the instance holds the lease.
+func (l lease) Valid() bool {
+	p := l.placement
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.holder == l.instance && time.Now().Before(p.expiry)
+}
+
 // Place counts an order; the endpoints never report that it was carried out.
 func (p *placement) Place(context.Context, director.Placement) error {
 	p.mu.Lock()
