Write the condemned parts again after the store was restored

What could be seen: with the loss of all instances after a restoration, requests with a condemned part crash endpoints anew. Cause: the row was acknowledged and lost, and its writer compared what is known with what it had written. Now a new era makes the writer write again, once. TestCondemnedPartLostInRestoredStore: 0 parts of 1 before.

--- a/router/quarantiner/keeper.go
+++ b/router/quarantiner/keeper.go
@@ -45,10 +45,15 @@
 	Archive     Archive
 	// Readers returns the instances that read the platform's store.
 	Readers func() []identifier.Instance
-	Log     logrus.FieldLogger
+	// Era returns the era of the archive, which is greater once the archive has lost what was
+	// last written.
+	Era func() identifier.Era
+	Log logrus.FieldLogger
 
-	// saved is the evidence that was last written.
-	saved []string
+	// saved is the evidence that was last written, and savedEra the archive's era before
+	// that.
+	saved    []string
+	savedEra identifier.Era
 	// loadAfter is the time from which the archive may be read again after a failure, and
 	// loadPause the last pause.
 	loadAfter time.Time
@@ -101,8 +106,8 @@
 	q.Restore(now, parts)
 }
 
-// save writes the condemned parts if they changed and this instance is the one to
-// write them.
+// save writes the condemned parts if they changed, or may have been lost, and this
+// instance is the one to write them.
 func (k *Keeper) save(ctx context.Context, now time.Time) {
 	q := k.Quarantiner
 	if !q.Complete() {
@@ -110,6 +115,10 @@
 	}
 	parts := q.Condemned(now)
 	evidence := evidenceOf(parts)
+	era := k.Era()
+	if era != k.savedEra {
+		k.saved = nil
+	}
 	if slices.Equal(evidence, k.saved) {
 		return
 	}
@@ -121,6 +130,7 @@
 		return
 	}
 	k.saved = evidence
+	k.savedEra = era
 }
 
 // evidenceOf returns the parts and the endpoints that crashed under each, sorted.
--- a/router/quarantiner/keeper_test.go
+++ b/router/quarantiner/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +60,7 @@
 					Quarantiner: f.instances[name],
 					Archive:     store,
 					Readers:     func() []identifier.Instance { return []identifier.Instance{"i4"} },
+					Era:         func() identifier.Era { return 1 },
 					Log:         log,
 				}
 				group.Go(func() error { return k.Run(ctx) })
@@ -105,6 +107,7 @@
 			Quarantiner: f.instances["i0"],
 			Archive:     store,
 			Readers:     func() []identifier.Instance { return f.names },
+			Era:         func() identifier.Era { return 1 },
 			Log:         log,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -137,6 +140,7 @@
 		Quarantiner: f.instances["i0"],
 		Archive:     store,
 		Readers:     func() []identifier.Instance { return []identifier.Instance{reader} },
+		Era:         func() identifier.Era { return 1 },
 		Log:         log,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), d)
@@ -185,3 +189,52 @@
 		}
 	})
 }
+
+// TestCondemnedPartLostInRestoredStore guards against a condemned part whose row was lost
+// when the store was restored, and that nobody writes again: with the loss of all instances
+// it would be sent once more.
+func TestCondemnedPartLostInRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		store := &archive{}
+		var era atomic.Uint64
+		era.Store(1)
+		f := newFleet(9)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		for _, name := range f.names {
+			k := &quarantiner.Keeper{
+				Quarantiner: f.instances[name],
+				Archive:     store,
+				Readers:     func() []identifier.Instance { return []identifier.Instance{"i4"} },
+				Era:         func() identifier.Era { return identifier.Era(era.Load()) },
+				Log:         log,
+			}
+			group.Go(func() error { return k.Run(ctx) })
+		}
+		time.Sleep(time.Second)
+		f.now = time.Now()
+		for range 5 {
+			f.crash("i0", bad)
+		}
+		f.exchangeAll()
+		time.Sleep(2 * time.Second)
+		store.mu.Lock()
+		store.parts = nil
+		store.saves = 0
+		store.mu.Unlock()
+		era.Store(2)
+		time.Sleep(2 * time.Second)
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+		if got, want := len(store.parts), 1; got != want {
+			t.Errorf("parts in the restored store: got %d, want %d", got, want)
+		}
+		if got, want := store.saves, 1; got != want {
+			t.Errorf("writes of nine instances: got %d, want %d", got, want)
+		}
+	})
+}
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -174,6 +174,7 @@
 			Log:   log,
 		},
 		Readers: func() []identifier.Instance { return pub.View().Readers },
+		Era:     func() identifier.Era { return store.History().Era },
 		Log:     log,
 	}
 }
