Enter an instance in the registry again once the store has lost its entry

What could be seen: an instance that started in the seconds that a restored store lost stays out of the registry for half a minute; those that start then do not find it. Cause: an entry that is missing is taken for an old copy until three readings after it was written.

--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -75,7 +75,9 @@
 	// registeredAt is when the instance was last entered in the registry. Only the
 	// goroutine that reads the registry accesses it.
 	registeredAt time.Time
-	pushSignal   chan struct{}
+	// registeredEra is the era of the platform's store in which that was.
+	registeredEra identifier.Era
+	pushSignal    chan struct{}
 
 	trackedMu sync.Mutex
 	tracked   map[identifier.Revision]*trackedAcceptance
--- a/router/controller/registry_test.go
+++ b/router/controller/registry_test.go
@@ -48,3 +48,24 @@
 		t.Errorf("registrations in %d readings: got %d, want 2 to %d", readings, got, want)
 	}
 }
+
+// TestRegistryEntryLostInRestoredStore guards against an instance that stays out of the
+// registry for long after the store was restored, because it wrote its entry a moment before.
+func TestRegistryEntryLostInRestoredStore(t *testing.T) {
+	r := &fakeRegistry{era: 1}
+	startConfigured(t, func(c *controller.Controller) {
+		c.Settings.Platform.ListInterval = identifier.DurationOf(200 * time.Millisecond)
+		c.Source.Registry = r
+	})
+	r.awaitLists(t, 1)
+	r.mu.Lock()
+	r.era = 2
+	r.mu.Unlock()
+	// The entry of the second reading is written before the third one.
+	r.awaitLists(t, 3)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if got, want := r.registrations, 2; got != want {
+		t.Errorf("registrations: got %d, want %d", got, want)
+	}
+}
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -22,8 +22,10 @@
 
 // Registry is the list in which instances announce themselves and find each other.
 type Registry interface {
-	Register(ctx context.Context, l messenger.ListedInstance) error
-	List(ctx context.Context) ([]messenger.ListedInstance, error)
+	// Register returns the era of the platform's store in which the entry was written, and
+	// List the one of the list.
+	Register(ctx context.Context, l messenger.ListedInstance) (identifier.Era, error)
+	List(ctx context.Context) ([]messenger.ListedInstance, identifier.Era, error)
 }
 
 // Source is a platform that stores the operators' configuration itself and
@@ -260,25 +262,27 @@
 const registrationIntervals = 3
 
 // mustRegister reports whether this instance's entry must be written: it is missing from
-// the registry, was not written recently, and the instance is not stopping.
-func (c *Controller) mustRegister(listed []messenger.ListedInstance) bool {
+// the registry, was not written recently or was lost since with the store's last seconds,
+// and the instance is not stopping.
+func (c *Controller) mustRegister(listed []messenger.ListedInstance, era identifier.Era) bool {
 	if c.Publisher.Stopping() || slices.Contains(listed, c.ownListing()) {
 		return false
 	}
-	return time.Since(c.registeredAt) >= registrationIntervals*c.Settings.Platform.ListInterval.Std()
+	return era > c.registeredEra || time.Since(c.registeredAt) >= registrationIntervals*c.Settings.Platform.ListInterval.Std()
 }
 
 // syncRegistry reads the registry of instances, and enters this instance if it must.
 func (c *Controller) syncRegistry(ctx context.Context) {
-	listed, err := c.Source.Registry.List(ctx)
+	listed, era, err := c.Source.Registry.List(ctx)
 	if err != nil {
 		c.Log.WithError(err).Debug("registry of instances not read")
 		return
 	}
-	if c.mustRegister(listed) {
-		err := c.Source.Registry.Register(ctx, c.ownListing())
+	if c.mustRegister(listed, era) {
+		written, err := c.Source.Registry.Register(ctx, c.ownListing())
 		if err == nil {
 			c.registeredAt = time.Now()
+			c.registeredEra = written
 		} else {
 			c.Log.WithError(err).Warn("instance not entered in the registry; it is tried again")
 		}
--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -59,24 +59,25 @@
 	lists         int
 	registrations int
 	failures      int
+	era           identifier.Era
 }
 
 // Register counts an announcement.
-func (r *fakeRegistry) Register(context.Context, messenger.ListedInstance) error {
+func (r *fakeRegistry) Register(context.Context, messenger.ListedInstance) (identifier.Era, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.registrations++
 	if r.registrations <= r.failures {
-		return errors.New("the store is unavailable")
+		return 0, errors.New("the store is unavailable")
 	}
-	return nil
+	return r.era, nil
 }
 
-func (r *fakeRegistry) List(context.Context) ([]messenger.ListedInstance, error) {
+func (r *fakeRegistry) List(context.Context) ([]messenger.ListedInstance, identifier.Era, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lists++
-	return r.listed, nil
+	return r.listed, r.era, nil
 }
 
 const retainAfterOutage = 300 * time.Millisecond
