Hold back entries of endpoints that had left and came back with an older copy

What could be seen: requests are sent to endpoints that left in the seconds that a restored store lost (DRAIN), or endpoints drop out until they have written their entries again. Cause: the list after a restoration was taken like any other, and an entry that is missing counts as left unless a call to the store had failed.

TestLiveEndpointDroppedByRestoredStore: one endpoint of two before; TestDepartedEndpointBackInRestoredStore: all four in use before. An endpoint's layers may be those of the older copy until it writes its entry again (open).

--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -66,6 +66,7 @@
 	retainedUntil map[string]time.Time
 	// lastFailure is when a request to the platform last failed.
 	lastFailure time.Time
+	returned    returnedEntries
 }
 
 // runSource is Run for a platform with a Source.
@@ -151,6 +152,11 @@
 	if change.FailedAt.After(f.lastFailure) {
 		f.lastFailure = change.FailedAt
 	}
+	if change.Restored {
+		// Entries of the lost seconds are missing until they are written again.
+		f.lastFailure = now
+	}
+	c.holdReturned(now, &change)
 	gone := change.Removed
 	if change.Complete {
 		for name := range f.endpoints {
@@ -169,7 +175,7 @@
 			}
 			continue
 		}
-		c.removeEndpoint(name, "left the list")
+		c.removeEndpoint(now, name, "left the list")
 	}
 	for name, e := range change.Set {
 		delete(f.retainedUntil, name)
@@ -184,7 +190,7 @@
 	for name, until := range f.retainedUntil {
 		if now.After(until) {
 			delete(f.retainedUntil, name)
-			c.removeEndpoint(name, "did not come back to the list after an outage")
+			c.removeEndpoint(now, name, "did not come back to the list after an outage")
 		}
 	}
 }
@@ -204,7 +210,8 @@
 	}
 }
 
-func (c *Controller) removeEndpoint(name, reason string) {
+func (c *Controller) removeEndpoint(now time.Time, name, reason string) {
+	c.fleet.returned.left(now, c.fleet.endpoints[name].EndpointIncarnation)
 	delete(c.fleet.endpoints, name)
 	c.publishedChangeCount = 0
 	c.Log.WithField("endpoint", name).WithField("reason", reason).Info("endpoint gone")
--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -233,6 +233,48 @@
 	i.waitFor(t, "only endpoint a", func(v *publisher.View) bool { return availableEndpoints(v) == "a " })
 }
 
+// TestLiveEndpointDroppedByRestoredStore guards against an endpoint that drops out because
+// its entry was written in the seconds that the store lost; no call to the store failed.
+func TestLiveEndpointDroppedByRestoredStore(t *testing.T) {
+	i := start(t)
+	i.sites.changes <- configurationAt(1)
+	i.endpoints.changes <- fullList(endpoint("a", false), endpoint("b", false))
+	i.waitFor(t, "both endpoints", func(v *publisher.View) bool { return availableEndpoints(v) == "a b " })
+	restored := fullList(endpoint("a", false))
+	restored.Restored = true
+	i.endpoints.changes <- restored
+	time.Sleep(retainAfterOutage / 3)
+	if got := availableEndpoints(i.publisher.View()); got != "a b " {
+		t.Errorf("endpoints just after the restoration: got %q, want both", got)
+	}
+	time.Sleep(retainAfterOutage)
+	i.endpoints.changes <- cataloguer.Change[cataloguer.Endpoint]{}
+	i.waitFor(t, "only endpoint a", func(v *publisher.View) bool { return availableEndpoints(v) == "a " })
+}
+
+// TestDepartedEndpointBackInRestoredStore guards against work for an endpoint that had left
+// and whose entry came back with the older copy.
+func TestDepartedEndpointBackInRestoredStore(t *testing.T) {
+	i := start(t)
+	i.sites.changes <- configurationAt(1)
+	i.endpoints.changes <- fullList(endpoint("a", false), endpoint("b", false), endpoint("c", false))
+	i.waitFor(t, "all endpoints", func(v *publisher.View) bool { return availableEndpoints(v) == "a b c " })
+	i.endpoints.changes <- cataloguer.Change[cataloguer.Endpoint]{Removed: []string{"b", "c"}}
+	i.waitFor(t, "only endpoint a", func(v *publisher.View) bool { return availableEndpoints(v) == "a " })
+	restored := fullList(endpoint("a", false), endpoint("b", false), endpoint("c", false), endpoint("d", false))
+	restored.Restored = true
+	i.endpoints.changes <- restored
+	i.waitFor(t, "endpoint d", func(v *publisher.View) bool { return availableEndpoints(v) != "a " })
+	if got, want := availableEndpoints(i.publisher.View()), "a d "; got != want {
+		t.Errorf("endpoints after the restoration: got %q, want %q", got, want)
+	}
+	i.endpoints.changes <- cataloguer.Change[cataloguer.Endpoint]{
+		Set:     map[string]cataloguer.Endpoint{"b": endpoint("b", false)},
+		Removed: []string{"c"},
+	}
+	i.waitFor(t, "endpoint b, which wrote its entry again", func(v *publisher.View) bool { return availableEndpoints(v) == "a b d " })
+}
+
 // TestRevisionNeverDecreases requires that an older configuration never replaces
 // a newer one.
 func TestRevisionNeverDecreases(t *testing.T) {
