Believe no response without a request's id on a connection that was used before

Report of other operators: a faulty endpoint writes an earlier refusal once more on a kept connection, and callers are told 'not run, try again' for a request that runs (REFUSED), or it runs at a second endpoint (TWICE). Here: a refusal that names another request is skipped, but one that names none stood for the request at hand. Now such a response on a connection that has carried others leaves the outcome unknown, and ends the connection; only a request that may be repeated is sent again. A sound endpoint's refusals carry the id but for a 400. A request that goes to an address again takes a new connection there, so that the refusal of the first attempt cannot stand for the second.

--- a/core/courier/courier.go
+++ b/core/courier/courier.go
@@ -66,6 +66,9 @@
 type ResponseMetadata struct {
 	// Matches is set if the response belongs to this request.
 	Matches bool
+	// Identified is set if the response names the request; one without a name can only
+	// be assumed to be to this request.
+	Identified bool
 	// NotRun is set if the endpoint reports that the request did not run.
 	NotRun bool
 	// Signed is set if the response carries an endpoint's signature. The signature
--- a/router/exchanger/exchanger.go
+++ b/router/exchanger/exchanger.go
@@ -61,7 +61,8 @@
 	// Matches reports whether a response with this status and header belongs to this
 	// request.
 	Matches func(status int, h http.Header) bool
-	// NewConn requires a new connection.
+	// NewConn requires a new connection. It must be set if the same request was sent to the
+	// address before: a late response to it could not be told from one to this request.
 	NewConn bool
 }
 
@@ -86,6 +87,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// used is set once an exchange on the connection has ended.
+	used bool
 	// idleDeadline is the time until which the idle connection may be reused.
 	idleDeadline time.Time
 	// limited is set while reader may read at most remaining bytes from the
@@ -129,6 +132,7 @@
 	response := &Response{
 		exchanger: x,
 		conn:      c,
+		Reused:    c.used,
 		writeDone: make(chan error, 1),
 	}
 	response.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -202,6 +206,7 @@
 	if x.idle == nil {
 		x.idle = make(map[string][]*conn)
 	}
+	c.used = true
 	if len(x.idle[c.address]) >= maxIdlePerAddress {
 		_ = c.Close()
 		return
--- a/router/exchanger/response.go
+++ b/router/exchanger/response.go
@@ -20,6 +20,9 @@
 	// UntilClose is set if the body has neither a length nor chunks and ends with the
 	// connection: whether it is complete can only be told from what it holds.
 	UntilClose bool
+	// Reused is set if the connection had carried other exchanges before: a response that
+	// names no request may be a late one to one of them.
+	Reused bool
 
 	exchanger *Exchanger
 	conn      *conn
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -96,7 +96,7 @@
 	if s.engine.Layers > 0 {
 		metadata.Chain = chain
 	}
-	response, err := s.proxier.Exchanger.Open(ctx, s.proxier.newRequest(s.job, chain[0].Address, metadata))
+	response, err := s.proxier.Exchanger.Open(ctx, s.proxier.newRequest(s.job, chain[0].Address, s.sent.add(chain[0].Address), metadata))
 	switch {
 	case errors.Is(err, exchanger.ErrNotSent):
 		s.proxier.Exchanger.CloseIdle(chain[0].Address)
@@ -139,7 +139,7 @@
 	s := a.stream
 	info := s.proxier.Codec.ParseResponse(s.job.Request, a.response.Status, a.response.Header)
 	a.reportLimit(info)
-	if info.NotRun {
+	if info.NotRun && !unidentified(a.response, info) {
 		status := a.response.Status
 		a.response.Discard()
 		failed := stageAt(a.chain(), info.RefusedBy)
@@ -147,6 +147,11 @@
 	}
 	s.ran = true
 	s.runs++
+	if unidentified(a.response, info) {
+		status := a.response.Status
+		a.response.Discard()
+		return a.recordFailure(errors.Wrapf(errUnidentified, "status %d", status), a.chain()[0].EndpointIncarnation)
+	}
 	if unsigned(a.response.Status, info) {
 		status := a.response.Status
 		a.response.Discard()
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -48,11 +48,12 @@
 func (codec) ParseResponse(_ *courier.Request, _ int, h http.Header) courier.ResponseMetadata {
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
 	return courier.ResponseMetadata{
-		Limit:     limit,
-		Matches:   h.Get("Id") == "r1",
-		NotRun:    h.Get("Not-Run") != "",
-		Signed:    h.Get("Stamp") != "",
-		RefusedBy: h.Get("At-Fault"),
+		Limit:      limit,
+		Matches:    h.Get("Id") == "r1",
+		Identified: h.Get("Id") == "r1",
+		NotRun:     h.Get("Not-Run") != "",
+		Signed:     h.Get("Stamp") != "",
+		RefusedBy:  h.Get("At-Fault"),
 	}
 }
 
@@ -81,21 +82,26 @@
 }
 
 func newEndpoint(t *testing.T, name string, serve func(after int, w io.Writer)) *endpoint {
+	t.Helper()
+	e := &endpoint{closed: make(chan struct{}, 10)}
+	e.listen(t, name, func(c net.Conn) { e.serve(c, serve) })
+	return e
+}
+
+// listen serves connections until the test ends, and names the endpoint.
+func (e *endpoint) listen(t *testing.T, name string, serve func(c net.Conn)) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	e := &endpoint{
-		Endpoint: cataloguer.Endpoint{
-			EndpointIncarnation: identifier.EndpointIncarnation{
-				Endpoint:    identifier.Endpoint(name),
-				Incarnation: 1,
-			},
-			Service: "s",
-			Address: l.Addr().String(),
+	e.Endpoint = cataloguer.Endpoint{
+		EndpointIncarnation: identifier.EndpointIncarnation{
+			Endpoint:    identifier.Endpoint(name),
+			Incarnation: 1,
 		},
-		closed: make(chan struct{}, 10),
+		Service: "s",
+		Address: l.Addr().String(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
@@ -108,7 +114,7 @@
 			context.AfterFunc(ctx, func() { c.Close() })
 			group.Go(func() error {
 				defer c.Close()
-				e.serve(c, serve)
+				serve(c)
 				return nil
 			})
 		}
@@ -118,7 +124,6 @@
 		cancel()
 		group.Wait()
 	})
-	return e
 }
 
 func (e *endpoint) serve(c net.Conn, serve func(after int, w io.Writer)) {
--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -30,6 +30,7 @@
 	ran   bool
 	runs  int
 	avoid []identifier.EndpointIncarnation
+	sent  sentTo
 }
 
 // completeResponse is a response that has been read completely.
@@ -56,6 +57,15 @@
 // errUnsigned reports a response without an endpoint's signature.
 var errUnsigned = errors.New("the response is not signed by an endpoint")
 
+// errUnidentified reports a response that names no request on a connection that has
+// carried others.
+var errUnidentified = errors.New("the response may be to an earlier request of the connection")
+
+// unidentified reports whether a response may be to an earlier request.
+func unidentified(response *exchanger.Response, info courier.ResponseMetadata) bool {
+	return response.Reused && !info.Identified
+}
+
 // unsigned reports whether a response looks like an endpoint's result, a success
 // or a client error, but does not have an endpoint's signature.
 func unsigned(status int, info courier.ResponseMetadata) bool {
@@ -169,7 +179,7 @@
 		defer cancel()
 	}
 	sentAt := time.Now()
-	response, err := p.proxier.Exchanger.Open(ctx, p.proxier.newRequest(j, e.Address, courier.RequestMetadata{
+	response, err := p.proxier.Exchanger.Open(ctx, p.proxier.newRequest(j, e.Address, p.sent.add(e.Address), courier.RequestMetadata{
 		Endpoint:  e.Endpoint,
 		Customer:  j.Customer,
 		Remaining: remaining,
@@ -232,11 +242,15 @@
 
 // read reads the whole response.
 func (p *plainRequest) read(response *exchanger.Response, info courier.ResponseMetadata) (*completeResponse, error) {
-	if info.NotRun {
+	if info.NotRun && !unidentified(response, info) {
 		return nil, discardRefusal(response, info.IdleTimeout)
 	}
 	p.ran = true
 	p.runs++
+	if unidentified(response, info) {
+		response.Discard()
+		return nil, errors.Wrapf(errUnidentified, "status %d", response.Status)
+	}
 	if unsigned(response.Status, info) {
 		response.Discard()
 		return nil, errors.Wrapf(errUnsigned, "status %d", response.Status)
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -155,10 +156,24 @@
 	return classifier.Wrap(classifier.NoChain, err, "no endpoint accepted the request")
 }
 
-// newRequest returns the request that forwards the job's request to address.
-func (x *Proxier) newRequest(j Job, address string, metadata courier.RequestMetadata) exchanger.Request {
+// sentTo holds the addresses to which a request was sent.
+type sentTo []string
+
+// add adds an address, and reports whether the request was sent to it before.
+func (s *sentTo) add(address string) bool {
+	if slices.Contains(*s, address) {
+		return true
+	}
+	*s = append(*s, address)
+	return false
+}
+
+// newRequest returns the request that forwards the job's request to address. again is set if
+// it was sent there before.
+func (x *Proxier) newRequest(j Job, address string, again bool, metadata courier.RequestMetadata) exchanger.Request {
 	return exchanger.Request{
 		Address: address,
+		NewConn: again,
 		Method:  j.Request.Method,
 		Host:    j.Request.Host,
 		URI:     j.Request.URI,
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -34,6 +34,7 @@
 	status int
 	ran    bool
 	runs   int
+	sent   sentTo
 	// chainsRequested counts the requests for chains, including those for rerouting.
 	chainsRequested atomic.Int64
 	// lastEvent is the id of the last event that the caller received.
