End a stream broken off where the next endpoint's answer is no part of it

TestErrorInsideResumedStream, eleven answers: errors by status, unsigned ones and heads in heads were set aside before; three failed: a 200 of another content type was appended to the stream ('error' and a complete end), and an answer that ended with its connection before a new event ended the stream as complete, with or without text. Now the media type must be the stream's, where one is stated, and an answer until close must bring a new event in each attempt, not only the first.

An endpoint stops in the middle of its answer's head and closes: cannot happen here. TestCutResponseLooksComplete cuts answers with a length, chunks and until close at every byte, streams and plain ones: none reaches the caller as a whole one. It passed at once.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -167,6 +167,11 @@
 		a.response.Discard()
 		return errors.Wrapf(errFailed, "status %d for a resumed stream", status)
 	}
+	if s.started && !s.continues(a.response) {
+		contentType := a.response.Header.Get("Content-Type")
+		a.response.Discard()
+		return a.recordFailure(errors.Wrapf(errFailed, "content type %.40q for a resumed stream", contentType), a.chain()[0].EndpointIncarnation)
+	}
 	a.answering.Store(a.response.Status == http.StatusOK)
 	if !s.started && a.answering.Load() {
 		s.writeHeader(a.response)
@@ -186,8 +191,8 @@
 // errNoProgress reports a stream that sends data but no new events.
 var errNoProgress = errors.New("the stream sent too many bytes without a new event")
 
-// errNoEvents reports a stream that ended with its connection before the first event.
-var errNoEvents = errors.New("the connection ended before the first event")
+// errNoEvents reports a response that ended with its connection before a new event.
+var errNoEvents = errors.New("the connection ended before a new event")
 
 // forwardEvents forwards the events of the response, each complete and in order.
 func (a *attempt) forwardEvents() error {
@@ -201,7 +206,7 @@
 		e, err := events.next()
 		now := time.Now()
 		a.lastEventAt.Store(&now)
-		if errors.Is(err, io.EOF) && a.response.UntilClose && s.lastEvent.Load() == s.job.Request.LastEvent {
+		if errors.Is(err, io.EOF) && a.response.UntilClose && !a.progressed.Load() {
 			err = errNoEvents
 		}
 		if errors.Is(err, io.EOF) {
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -32,9 +32,11 @@
 	started bool
 	// status is the HTTP status sent to the caller, once started.
 	status int
-	ran    bool
-	runs   int
-	sent   sentTo
+	// contentType is the one that was sent to the caller.
+	contentType string
+	ran         bool
+	runs        int
+	sent        sentTo
 	// chainsRequested counts the requests for chains, including those for rerouting.
 	chainsRequested atomic.Int64
 	// lastEvent is the id of the last event that the caller received.
@@ -229,6 +231,7 @@
 func (s *stream) writeHeader(response *exchanger.Response) {
 	s.started = true
 	s.status = response.Status
+	s.contentType = response.Header.Get("Content-Type")
 	h := s.w.Header()
 	for name, values := range s.proxier.Codec.ResponseHeader(response.Header) {
 		h[name] = values
@@ -236,6 +239,19 @@
 	s.w.WriteHeader(response.Status)
 }
 
+// continues reports whether a response can continue the stream that the caller receives:
+// one of another media type cannot.
+func (s *stream) continues(response *exchanger.Response) bool {
+	next := response.Header.Get("Content-Type")
+	return next == "" || mediaType(next) == mediaType(s.contentType)
+}
+
+// mediaType returns a content type without its parameters.
+func mediaType(contentType string) string {
+	name, _, _ := strings.Cut(contentType, ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // writeEvents writes complete events to the caller.
 func (s *stream) writeEvents(out *http.ResponseController, events []byte) error {
 	if len(events) == 0 {
