--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -172,9 +172,7 @@
 		return err
 	}
 	defer pass.End()
-	requested := time.Now()
-	ticket, err := s.proxier.Tickets.Acquire(ctx, s.job.Service, s.newAsk())
-	s.timing.queued += time.Since(requested)
+	ticket, err := s.acquireTicket(ctx)
 	if err != nil {
 		return err
 	}
@@ -200,6 +198,26 @@
 	return err
 }
 
+// acquireTicket acquires a chain that does not start at an endpoint that wants no requests.
+func (s *stream) acquireTicket(ctx context.Context) (*acquirer.Ticket, error) {
+	requested := time.Now()
+	defer func() { s.timing.queued += time.Since(requested) }()
+	for {
+		ticket, err := s.proxier.Tickets.Acquire(ctx, s.job.Service, s.newAsk())
+		if err != nil {
+			return nil, err
+		}
+		until, paused := s.proxier.Balancer.Paused(time.Now())[ticket.Chain[0].EndpointIncarnation]
+		if !paused {
+			return ticket, nil
+		}
+		ticket.Release(acquirer.Outcome{})
+		if s.chainsRequested.Load() >= maxChains {
+			return nil, pausedError(until)
+		}
+	}
+}
+
 // newAsk returns a request for a chain. It may be called while the stream runs.
 func (s *stream) newAsk() *messenger.Ask {
 	r := s.job.Request
@@ -219,6 +237,9 @@
 	for _, incarnation := range s.avoided() {
 		ask.Avoid = append(ask.Avoid, markOf(incarnation))
 	}
+	for incarnation := range s.proxier.Balancer.Paused(time.Now()) {
+		ask.Avoid = append(ask.Avoid, markOf(incarnation))
+	}
 	return ask
 }
 
@@ -240,10 +261,10 @@
 }
 
 // continues reports whether a response can continue the stream that the caller receives:
-// one of another media type cannot.
+// one that states another media type cannot.
 func (s *stream) continues(response *exchanger.Response) bool {
 	next := response.Header.Get("Content-Type")
-	return next == "" || mediaType(next) == mediaType(s.contentType)
+	return next == "" || s.contentType == "" || mediaType(next) == mediaType(s.contentType)
 }
 
 // mediaType returns a content type without its parameters.
