Do as endpoints say in their answers: one that leaves, one that wants a pause

An endpoint that leaves says so in its answers (DRAIN from then on, for the instance that passed one on); one that answers 503 with Retry-After wants nothing from that instance for so long (BUDGET).

A leaving endpoint is marked at once, as by its entry, also at the peers. A pause is kept by the instance that was told: plain requests go elsewhere, wait if the turn comes within the target, or are refused with the time; a chain that starts at such an endpoint is given back, and its endpoint named as one to avoid. Answers that may be of an earlier request, or of another process (421), say nothing. At most five minutes.

--- a/core/courier/courier.go
+++ b/core/courier/courier.go
@@ -82,6 +82,11 @@
 	Limit float64
 	// LimitError is set if the response names a limit that is not understood.
 	LimitError error
+	// Leaving is set if the endpoint says that it is leaving.
+	Leaving bool
+	// RetryAfter is for how long an endpoint that turned the request away wants no others
+	// from this instance; 0 if it names no time.
+	RetryAfter time.Duration
 	// IdleTimeout is how long the endpoint keeps an idle connection open; 0 if the
 	// response does not specify it.
 	IdleTimeout time.Duration
--- a/router/balancer/balancer.go
+++ b/router/balancer/balancer.go
@@ -54,11 +54,13 @@
 	// instance without a share sends nothing before closedUntil.
 	pace        pacer.Bucket
 	closedUntil time.Time
+	// pausedUntil is the time until which the endpoint wants no requests of this instance.
+	pausedUntil time.Time
 }
 
 // wait returns how long a request to the endpoint has to wait.
 func (r *record) wait(now time.Time) time.Duration {
-	return max(r.pace.Wait(now), r.closedUntil.Sub(now), 0)
+	return max(r.pace.Wait(now), r.closedUntil.Sub(now), r.pausedUntil.Sub(now), 0)
 }
 
 // Pick chooses among endpoints, and counts a request as in flight there until
@@ -111,6 +113,34 @@
 	return r.wait(now)
 }
 
+// Pause records that an endpoint wants no requests of this instance until a time.
+func (b *Balancer) Pause(incarnation identifier.EndpointIncarnation, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(incarnation)
+	if until.After(r.pausedUntil) {
+		r.pausedUntil = until
+	}
+}
+
+// Paused returns the endpoints that want no requests of this instance, with the time until
+// which that holds.
+func (b *Balancer) Paused(now time.Time) map[identifier.EndpointIncarnation]time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out map[identifier.EndpointIncarnation]time.Time
+	for incarnation, r := range b.records {
+		if !r.pausedUntil.After(now) {
+			continue
+		}
+		if out == nil {
+			out = make(map[identifier.EndpointIncarnation]time.Time)
+		}
+		out[incarnation] = r.pausedUntil
+	}
+	return out
+}
+
 // Limit records the limit that an endpoint named in its answer to a request that was sent
 // at sentAt, in requests a second; 0 if it named none. It reports whether the limit
 // changed.
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -139,6 +139,7 @@
 	s := a.stream
 	info := s.proxier.Codec.ParseResponse(s.job.Request, a.response.Status, a.response.Header)
 	a.reportLimit(info)
+	s.proxier.recordWishes(a.chain()[0].EndpointIncarnation, info)
 	if info.NotRun && !unidentified(a.response, info) {
 		status := a.response.Status
 		a.response.Discard()
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -47,6 +47,7 @@
 
 func (codec) ParseResponse(_ *courier.Request, _ int, h http.Header) courier.ResponseMetadata {
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
+	retryAfter, _ := time.ParseDuration(h.Get("Pause"))
 	return courier.ResponseMetadata{
 		Limit:      limit,
 		Matches:    h.Get("Id") == "r1",
@@ -54,6 +55,8 @@
 		NotRun:     h.Get("Not-Run") != "",
 		Signed:     h.Get("Stamp") != "",
 		RefusedBy:  h.Get("At-Fault"),
+		Leaving:    h.Get("Leaving") != "",
+		RetryAfter: retryAfter,
 	}
 }
 
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -81,6 +81,8 @@
 	Quarantiner *quarantiner.Quarantiner
 	DataCentre  identifier.DataCentre
 	Retries     Retries
+	// OnLeaving, if not nil, is called when an endpoint says in an answer that it is leaving.
+	OnLeaving func(identifier.EndpointIncarnation)
 	// MaxBufferedBytes limits the memory for all buffered responses together, in
 	// bytes; 0 selects a default.
 	MaxBufferedBytes int64
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -253,7 +253,7 @@
 
 // wireStoreController sets the dependencies of a controller on a platform that has
 // a store, and the granter's callbacks.
-func wireStoreController(s *loader.Settings, c *controller.Controller, store *storer.Client, sh *sharer.Sharer, d *dialer.Dialer, pub *publisher.Publisher, g *granter.Granter, q *quarantiner.Quarantiner, p *reporter.Reporter, log logrus.FieldLogger) {
+func wireStoreController(s *loader.Settings, c *controller.Controller, store *storer.Client, sh *sharer.Sharer, d *dialer.Dialer, pub *publisher.Publisher, g *granter.Granter, q *quarantiner.Quarantiner, x *proxier.Proxier, p *reporter.Reporter, log logrus.FieldLogger) {
 	c.Dialer = d
 	c.Publisher = pub
 	c.Granter = g
@@ -287,6 +287,7 @@
 	c.OnExchange = p.CountExchange
 	c.Quarantiner = q
 	q.OnNews = c.Push
+	x.OnLeaving = c.MarkLeaving
 	g.MarkLeaving = c.MarkLeavingOnLoop
 	g.Estimate = estimate
 }
