Log a pause that is not understood, leave the stage at fault alone too, count pauses

A refusal through a chain may pass on the wish of the stage that it names; both are left alone for the time. A Retry-After that is a date or no number keeps no endpoint out of use and is logged (TestEndpointWishes). The gauge heatherhold_paused_endpoints counts them.

--- a/core/courier/courier.go
+++ b/core/courier/courier.go
@@ -85,8 +85,10 @@
 	// Leaving is set if the endpoint says that it is leaving.
 	Leaving bool
 	// RetryAfter is for how long an endpoint that turned the request away wants no others
-	// from this instance; 0 if it names no time.
-	RetryAfter time.Duration
+	// from this instance; 0 if it names no time. RetryAfterError is set if it names one that
+	// is not understood.
+	RetryAfter      time.Duration
+	RetryAfterError error
 	// IdleTimeout is how long the endpoint keeps an idle connection open; 0 if the
 	// response does not specify it.
 	IdleTimeout time.Duration
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -127,6 +127,17 @@
 	}
 }
 
+// recordWishes records what the first stage says about further requests. A refusal may pass
+// on the wish of the stage at fault, which then is left alone as well.
+func (a *attempt) recordWishes(info courier.ResponseMetadata) {
+	x := a.stream.proxier
+	chain := a.chain()
+	x.recordWishes(a.stream.job, chain[0].EndpointIncarnation, info)
+	if refusing := stageAt(chain, info.RefusedBy); info.RetryAfter > 0 && info.Identified && refusing.EndpointIncarnation != chain[0].EndpointIncarnation {
+		x.Balancer.Pause(refusing.EndpointIncarnation, time.Now().Add(info.RetryAfter))
+	}
+}
+
 // recordFailure records the stage that failed and returns err.
 func (a *attempt) recordFailure(err error, failed identifier.EndpointIncarnation) error {
 	a.failed = failed
@@ -139,7 +150,7 @@
 	s := a.stream
 	info := s.proxier.Codec.ParseResponse(s.job.Request, a.response.Status, a.response.Header)
 	a.reportLimit(info)
-	s.proxier.recordWishes(a.chain()[0].EndpointIncarnation, info)
+	a.recordWishes(info)
 	if info.NotRun && !unidentified(a.response, info) {
 		status := a.response.Status
 		a.response.Discard()
--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -197,7 +197,7 @@
 	}
 	info := p.proxier.Codec.ParseResponse(p.job.Request, response.Status, response.Header)
 	p.recordLimit(sentAt, e, info)
-	p.proxier.recordWishes(e.EndpointIncarnation, info)
+	p.proxier.recordWishes(p.job, e.EndpointIncarnation, info)
 	return p.read(response, info)
 }
 
--- a/router/proxier/wishes.go
+++ b/router/proxier/wishes.go
@@ -8,9 +8,9 @@
 	"heatherhold.dev/core/identifier"
 )
 
-// recordWishes records what an endpoint says in an answer about further requests: that it
-// is leaving, or for how long it wants none.
-func (x *Proxier) recordWishes(e identifier.EndpointIncarnation, info courier.ResponseMetadata) {
+// recordWishes records what an endpoint says in its answer to j about further requests:
+// that it is leaving, or for how long it wants none.
+func (x *Proxier) recordWishes(j Job, e identifier.EndpointIncarnation, info courier.ResponseMetadata) {
 	if !info.Identified {
 		// The answer may be an earlier one, of another process at the address.
 		return
@@ -18,9 +18,13 @@
 	if info.Leaving && x.OnLeaving != nil {
 		x.OnLeaving(e)
 	}
+	log := x.log(j).WithField("endpoint", e.Endpoint)
+	if info.RetryAfterError != nil {
+		log.WithError(info.RetryAfterError).Warn("time for which an endpoint wants no requests not understood")
+	}
 	if info.RetryAfter > 0 {
 		x.Balancer.Pause(e, time.Now().Add(info.RetryAfter))
-		x.Log.WithField("endpoint", e.Endpoint).WithField("retry-after-ms", info.RetryAfter.Milliseconds()).Info("endpoint wants no requests for a while")
+		log.WithField("retry-after-ms", info.RetryAfter.Milliseconds()).Info("endpoint wants no requests for a while")
 	}
 }
 
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -235,13 +235,14 @@
 
 // registerGauges registers the metrics whose values are read when metrics are
 // written.
-func registerGauges(p *reporter.Reporter, pub *publisher.Publisher, r *receiver.Receiver, q *quarantiner.Quarantiner, store *storer.Client, sh *sharer.Sharer, w *logger.Writer) {
+func registerGauges(p *reporter.Reporter, pub *publisher.Publisher, r *receiver.Receiver, x *proxier.Proxier, q *quarantiner.Quarantiner, store *storer.Client, sh *sharer.Sharer, w *logger.Writer) {
 	for _, table := range []string{translator.ConfigurationTable, translator.EndpointsTable} {
 		p.Gauge(fmt.Sprintf(`heatherhold_news_age_seconds{table=%q}`, table), func() float64 { return sh.Age(table).Seconds() })
 		p.Gauge(fmt.Sprintf(`heatherhold_reads_store{table=%q}`, table), func() float64 { return boolValue(sh.Source(table) == "") })
 	}
 	p.Gauge(`heatherhold_quarantined_parts{verdict="suspected"}`, func() float64 { return float64(q.Count(time.Now(), false)) })
 	p.Gauge(`heatherhold_quarantined_parts{verdict="condemned"}`, func() float64 { return float64(q.Count(time.Now(), true)) })
+	p.Gauge("heatherhold_paused_endpoints", func() float64 { return float64(len(x.Balancer.Paused(time.Now()))) })
 	p.Gauge("heatherhold_store_era", func() float64 { return float64(store.History().Era) })
 	p.Gauge("heatherhold_active_requests", func() float64 { return float64(r.Active()) })
 	p.Gauge("heatherhold_revision", func() float64 { return float64(pub.View().Revision) })
