--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -275,6 +275,55 @@
 	i.waitFor(t, "endpoint b, which wrote its entry again", func(v *publisher.View) bool { return availableEndpoints(v) == "a b d " })
 }
 
+// TestLeavingRevokedByRestoredStore guards against work for an endpoint that has said that it
+// leaves, when an older copy of the store says that it is ready.
+func TestLeavingRevokedByRestoredStore(t *testing.T) {
+	for name, leave := range map[string]func(i *instance){
+		"by its entry": func(i *instance) {
+			i.endpoints.changes <- cataloguer.Change[cataloguer.Endpoint]{Set: map[string]cataloguer.Endpoint{"a": endpoint("a", true)}}
+		},
+		"by its answer": func(i *instance) { i.controller.MarkLeaving(endpoint("a", false).EndpointIncarnation) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := start(t)
+			i.sites.changes <- configurationAt(1)
+			i.endpoints.changes <- fullList(endpoint("a", false), endpoint("b", false))
+			i.waitFor(t, "both endpoints", func(v *publisher.View) bool { return availableEndpoints(v) == "a b " })
+			leave(i)
+			i.waitFor(t, "only endpoint b", func(v *publisher.View) bool { return availableEndpoints(v) == "b " })
+			restored := fullList(endpoint("a", false), endpoint("b", false), endpoint("c", false))
+			restored.Restored = true
+			i.endpoints.changes <- restored
+			i.waitFor(t, "endpoints b and c", func(v *publisher.View) bool { return availableEndpoints(v) == "b c " })
+		})
+	}
+}
+
+// TestOlderConfigurationAtStart guards against an instance that starts while a restored store
+// still has an older configuration, and keeps to it although a peer knows the newer one.
+func TestOlderConfigurationAtStart(t *testing.T) {
+	running, starting := start(t), start(t)
+	running.endpoints.changes <- fullList()
+	running.sites.changes <- configurationAt(5)
+	running.waitFor(t, "revision 5", func(v *publisher.View) bool { return v.Revision == 5 })
+	address := listen(t, running.controller)
+	starting.endpoints.changes <- fullList()
+	starting.sites.changes <- configurationAt(3)
+	starting.waitFor(t, "revision 3", func(v *publisher.View) bool { return v.Revision == 3 })
+	if _, err := starting.controller.Exchange(t.Context(), &messenger.Member{Address: address}); err != nil {
+		t.Fatal(err)
+	}
+	starting.waitFor(t, "revision 5", func(v *publisher.View) bool { return v.Revision == 5 })
+	// The older one, once more, before the operator has written the newer one again.
+	older := configurationAt(3)
+	older.Complete, older.Restored = true, true
+	starting.sites.changes <- older
+	time.Sleep(updateTimeout)
+	if got, want := starting.publisher.View().Revision, identifier.Revision(5); got != want {
+		t.Errorf("revision: got %d, want %d", got, want)
+	}
+}
+
 // TestRevisionNeverDecreases requires that an older configuration never replaces
 // a newer one.
 func TestRevisionNeverDecreases(t *testing.T) {
