Refuse at once where only paused endpoints are granted; drop records of gone ones

A request was given up to eight chains at endpoints that want none, each after a wait of up to two seconds, before it was refused; now two. What the balancer records of endpoints was never dropped (Keep was called by nobody): an instance's memory grew with each incarnation, now once a minute those that are gone are (TestRecordsOfGoneEndpointsKept failed before).

--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -49,16 +49,23 @@
 	}
 	t := time.NewTicker(checkInterval)
 	defer t.Stop()
+	cleanup := time.NewTicker(cleanupInterval)
+	defer cleanup.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
 			w.check(ctx, now)
+		case <-cleanup.C:
+			x.Balancer.Keep(x.Publisher.View().Incarnations())
 		}
 	}
 }
 
+// cleanupInterval is how often what is recorded of endpoints that are gone is dropped.
+const cleanupInterval = time.Minute
+
 // watcher is the state of Watch.
 type watcher struct {
 	proxier *Proxier
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -198,11 +198,16 @@
 	return err
 }
 
+// maxPausedChains is how many chains that start at an endpoint that wants no requests are
+// given back before a request is refused. The first one may have been granted to a question
+// from before the endpoint said so.
+const maxPausedChains = 2
+
 // acquireTicket acquires a chain that does not start at an endpoint that wants no requests.
 func (s *stream) acquireTicket(ctx context.Context) (*acquirer.Ticket, error) {
 	requested := time.Now()
 	defer func() { s.timing.queued += time.Since(requested) }()
-	for {
+	for n := 1; ; n++ {
 		ticket, err := s.proxier.Tickets.Acquire(ctx, s.job.Service, s.newAsk())
 		if err != nil {
 			return nil, err
@@ -212,7 +217,7 @@
 			return ticket, nil
 		}
 		ticket.Release(acquirer.Outcome{})
-		if s.chainsRequested.Load() >= maxChains {
+		if n >= maxPausedChains {
 			return nil, pausedError(until)
 		}
 	}
--- a/router/proxier/wishes_test.go
+++ b/router/proxier/wishes_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"heatherhold.dev/core/cataloguer"
@@ -85,3 +86,21 @@
 		}
 	}
 }
+
+// TestRecordsOfGoneEndpointsKept guards against records of endpoints that grow with each
+// incarnation that was ever listed.
+func TestRecordsOfGoneEndpointsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(cataloguer.AtMostOnce, false)
+		gone := identifier.EndpointIncarnation{Endpoint: "gone"}
+		f.proxier.Balancer.Pause(gone, time.Now().Add(time.Hour))
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+		defer cancel()
+		if err := f.proxier.Watch(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if got := f.proxier.Balancer.Paused(time.Now()); len(got) > 0 {
+			t.Errorf("records of endpoints that are gone: got %v, want none", got)
+		}
+	})
+}
--- a/router/publisher/publisher.go
+++ b/router/publisher/publisher.go
@@ -71,6 +71,17 @@
 	return n
 }
 
+// Incarnations returns the listed endpoint incarnations of all services.
+func (v *View) Incarnations() map[identifier.EndpointIncarnation]bool {
+	out := make(map[identifier.EndpointIncarnation]bool, v.EndpointCount())
+	for _, list := range v.Fleet {
+		for i := range list {
+			out[list[i].EndpointIncarnation] = true
+		}
+	}
+	return out
+}
+
 // Delay returns the declared delay between two data centres, or defaultDelay if their link
 // is not declared. It is 0 within a data centre and without a declaration.
 func (v *View) Delay(from, to identifier.DataCentre) time.Duration {
