--- a/router/quarantiner/keeper_test.go
+++ b/router/quarantiner/keeper_test.go
@@ -44,27 +44,32 @@
 	return nil
 }
 
+// runKeepers runs a keeper at each instance until ctx ends; i4 is the only reader.
+func (f *fleet) runKeepers(ctx context.Context, group *errgroup.Group, store *archive, era func() identifier.Era) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, name := range f.names {
+		k := &quarantiner.Keeper{
+			Quarantiner: f.instances[name],
+			Archive:     store,
+			Readers:     func() []identifier.Instance { return []identifier.Instance{"i4"} },
+			Era:         era,
+			Log:         log,
+		}
+		group.Go(func() error { return k.Run(ctx) })
+	}
+}
+
 // TestAllInstancesRestarted guards against a condemned part that is sent again after all
 // instances were lost, and against each instance calling the store.
 func TestAllInstancesRestarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
 		store := &archive{}
 		run := func(use func(f *fleet)) {
 			f := newFleet(9)
 			ctx, cancel := context.WithCancel(context.Background())
 			var group errgroup.Group
-			for _, name := range f.names {
-				k := &quarantiner.Keeper{
-					Quarantiner: f.instances[name],
-					Archive:     store,
-					Readers:     func() []identifier.Instance { return []identifier.Instance{"i4"} },
-					Era:         func() identifier.Era { return 1 },
-					Log:         log,
-				}
-				group.Go(func() error { return k.Run(ctx) })
-			}
+			f.runKeepers(ctx, &group, store, func() identifier.Era { return 1 })
 			time.Sleep(time.Second)
 			f.now = time.Now()
 			f.exchangeAll()
@@ -195,24 +200,13 @@
 // it would be sent once more.
 func TestCondemnedPartLostInRestoredStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
 		store := &archive{}
 		var era atomic.Uint64
 		era.Store(1)
 		f := newFleet(9)
 		ctx, cancel := context.WithCancel(t.Context())
 		var group errgroup.Group
-		for _, name := range f.names {
-			k := &quarantiner.Keeper{
-				Quarantiner: f.instances[name],
-				Archive:     store,
-				Readers:     func() []identifier.Instance { return []identifier.Instance{"i4"} },
-				Era:         func() identifier.Era { return identifier.Era(era.Load()) },
-				Log:         log,
-			}
-			group.Go(func() error { return k.Run(ctx) })
-		}
+		f.runKeepers(ctx, &group, store, func() identifier.Era { return identifier.Era(era.Load()) })
 		time.Sleep(time.Second)
 		f.now = time.Now()
 		for range 5 {
