--- a/router/sharer/sharer_test.go
+++ b/router/sharer/sharer_test.go
@@ -217,6 +217,7 @@
 	for _, size := range []struct{ instances, sites int }{{9, 3}, {60, 3}, {195, 5}, {1744, 12}} {
 		for _, outage := range []time.Duration{0, 2 * time.Second, 3 * time.Second} {
 			t.Run(fmt.Sprintf("%d-%v", size.instances, outage), func(t *testing.T) {
+				t.Parallel()
 				f := newFleet(size.instances, size.sites)
 				play(t, f, func(t *testing.T) {
 					time.Sleep(5 * time.Second)
