--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -186,6 +186,8 @@
 // tickets grants the first chain without an endpoint that is to be avoided.
 type tickets struct {
 	chains [][]identifier.Stage
+	// freeAt is when the chains after the first one are free.
+	freeAt time.Time
 	// reuseLast grants the last chain if all are to be avoided.
 	reuseLast bool
 	mu        sync.Mutex
@@ -196,7 +198,10 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.asks = append(x.asks, ask)
-	for _, chain := range x.chains {
+	for i, chain := range x.chains {
+		if i > 0 && time.Now().Before(x.freeAt) {
+			break
+		}
 		avoid := slices.ContainsFunc(chain, func(s identifier.Stage) bool {
 			return slices.ContainsFunc(ask.GetAvoid(), func(m *messenger.Mark) bool { return m.GetEndpoint() == string(s.Endpoint) })
 		})
