Let a stream leave its chain only for another one

Cause: the watcher cancelled each run through an endpoint that it took for dead (90 ms without an event, a probe without an answer within 60 ms) before it knew whether the stream may run again, and where. Class: our own judgement of an endpoint ends a caller's answer.

Ruled out: changes of the configuration (the breaks name the endpoint; limits don't reach a request that runs).

Change: a run that can't be moved goes on while another chain is looked for, and ends when its successor has a ticket and a retry. Its next event ends the search. Runs that can't be repeated stay. The ticket is suspended meanwhile, so that the pool's owner still learns of the failure.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -183,6 +183,12 @@
 // Release returns the ticket to the pool's owner.
 func (t *Ticket) Release(o Outcome) {
 	t.revoke()
+	t.Suspend(o)
+}
+
+// Suspend gives the chain back to the pool's owner, although the request still runs on it
+// and may go on.
+func (t *Ticket) Suspend(o Outcome) {
 	if t.pool == nil {
 		return
 	}
@@ -200,6 +206,26 @@
 	})
 }
 
+// Resume tells the pool's owner that a suspended ticket is in use again. The owner may have
+// granted the chain to others meanwhile.
+func (t *Ticket) Resume() {
+	if t.pool == nil {
+		return
+	}
+	t.pool.mu.Lock()
+	t.pool.tickets[identifier.Request(t.ask.GetRequest())] = t
+	t.pool.mu.Unlock()
+	t.pool.out.Add(func(m *messenger.ToOwner) { m.Held = append(m.Held, t.held()) })
+}
+
+// held returns the ticket as it is reported to an owner.
+func (t *Ticket) held() *messenger.Held {
+	return &messenger.Held{
+		Ask:   t.ask,
+		Chain: granter.StagesOf(t.Chain),
+	}
+}
+
 // ReportLimit tells the pool's owner how many requests a second an endpoint takes as the
 // first of a chain, according to its answer to a request that was sent at sentAt; 0 if
 // the answer names no limit. It reports whether the limit changed.
@@ -322,9 +348,6 @@
 		m.Asks = append(m.Asks, w.ask)
 	}
 	for _, t := range p.tickets {
-		m.Held = append(m.Held, &messenger.Held{
-			Ask:   t.ask,
-			Chain: granter.StagesOf(t.Chain),
-		})
+		m.Held = append(m.Held, t.held())
 	}
 }
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -21,10 +21,11 @@
 // another while the run continues.
 type attempt struct {
 	stream *stream
-	// forwardedBefore is the stream's count of forwarded events when the attempt
-	// started.
-	forwardedBefore int64
-	startedAt       time.Time
+	// resumedFrom is the last event that the caller had received when the attempt started.
+	resumedFrom int64
+	startedAt   time.Time
+	// replaceable is set if the stream may run again after this attempt.
+	replaceable bool
 	// failed is the endpoint incarnation that caused the attempt to fail; zero if
 	// none did.
 	failed   identifier.EndpointIncarnation
@@ -45,9 +46,15 @@
 
 	// rerouting is set while the stream is being rerouted.
 	rerouting atomic.Bool
+	// suspended is set while the attempt makes no progress and its ticket is suspended.
+	suspended atomic.Bool
 	mu        sync.Mutex
 	ticket    *acquirer.Ticket
-	finished  bool
+	// next is the ticket for the run that replaces the attempt, and stopSearch ends the
+	// search for one.
+	next       *acquirer.Ticket
+	stopSearch context.CancelFunc
+	finished   bool
 }
 
 // stageError reports a failure of one stage of a chain.
@@ -226,6 +233,7 @@
 			return s.writeEvents(out, a.pending)
 		}
 		if err == nil {
+			a.goOn()
 			err = a.bufferEvent(e)
 		}
 		if err != nil {
@@ -299,12 +307,12 @@
 	return nil
 }
 
-// outcome returns how the chain was used, for the release of its ticket.
-func (a *attempt) outcome() acquirer.Outcome {
-	forwarded := a.stream.forwarded - a.forwardedBefore
-	o := acquirer.Outcome{
-		Tokens: identifier.Tokens(forwarded * int64(a.stream.engine.Stride)),
-		Failed: a.failed,
+// outcome returns how the chain was used, for the pool's owner; failed is the endpoint that
+// failed, if any.
+func (a *attempt) outcome(failed identifier.EndpointIncarnation) acquirer.Outcome {
+	s := a.stream
+	return acquirer.Outcome{
+		Tokens: identifier.Tokens((s.lastEvent.Load() - a.resumedFrom) * int64(s.engine.Stride)),
+		Failed: failed,
 	}
-	return o
 }
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -14,7 +14,7 @@
 
 const (
 	// rerouteTimeout limits the time for rerouting a stream. After that the stream is
-	// resumed by a new run.
+	// handed over to a new run.
 	rerouteTimeout = 400 * time.Millisecond
 	// maxRerouteChains limits the chains that are tried to reroute a stream once.
 	maxRerouteChains = 3
@@ -35,26 +35,21 @@
 	return a.ticket.Request()
 }
 
-// reroute makes the first stage continue over a chain without the failed stage.
-// If that is not possible, or the first stage is the one that failed, the attempt
-// is cancelled.
-func (a *attempt) reroute(ctx context.Context, cause *stageError) {
-	if !a.rerouting.CompareAndSwap(false, true) {
-		return
-	}
-	defer a.rerouting.Store(false)
-	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
-	defer cancel()
+// moveAround makes the first stage continue over a chain without the failed stage. It
+// reports whether it did; it can't if the first stage is the one that failed.
+func (a *attempt) moveAround(ctx context.Context, cause *stageError) bool {
 	chain := a.chain()
 	if chain[0].EndpointIncarnation == cause.incarnation || a.stream.engine.Layers == 0 || a.unanswered() {
-		a.cancel(cause)
-		return
+		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
+	defer cancel()
+	a.goOn()
 	avoid := []identifier.EndpointIncarnation{cause.incarnation}
 	for range maxRerouteChains {
 		failed, err := a.tryReroute(ctx, avoid)
 		if err == nil {
-			return
+			return true
 		}
 		a.stream.proxier.log(a.stream.job).WithError(err).WithField("avoided", cause.incarnation.Endpoint).Info("stream not moved to another chain")
 		if !errors.Is(err, director.ErrStageUnavailable) || failed.Endpoint == "" || failed == chain[0].EndpointIncarnation {
@@ -62,7 +57,7 @@
 		}
 		avoid = append(avoid, failed)
 	}
-	a.cancel(cause)
+	return false
 }
 
 // tryReroute acquires a chain with the same first stage and reroutes the stream
@@ -108,13 +103,14 @@
 	a.stream.proxier.log(a.stream.job).WithField("avoided", failed.Endpoint).WithField("chain", formatChain(ticket.Chain)).Info("stream moved to another chain")
 }
 
-// finish returns the ticket in use and prevents any further rerouting of the
-// attempt.
-func (a *attempt) finish() *acquirer.Ticket {
+// finish returns the ticket in use and the one for the run that replaces the attempt, if
+// any. It prevents any further rerouting of the attempt.
+func (a *attempt) finish() (used, next *acquirer.Ticket) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.finished = true
-	return a.ticket
+	a.endSearch()
+	return a.ticket, a.next
 }
 
 func markOf(incarnation identifier.EndpointIncarnation) *messenger.Mark {
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -41,7 +41,7 @@
 // and they are at least as many as those that progress. It is considered failed
 // if it does not respond to a probe and all of its streams are still stalled, or
 // if it reports that it is slow and is still suspected. Its streams are then
-// rerouted over other chains.
+// rerouted over other chains; those for which there is none stay.
 func (x *Proxier) Watch(ctx context.Context) error {
 	w := &watcher{
 		proxier: x,
@@ -54,6 +54,8 @@
 	for {
 		select {
 		case <-ctx.Done():
+			// The searches end with ctx and return no error.
+			_ = w.searches.Wait()
 			return nil
 		case now := <-t.C:
 			w.check(ctx, now)
@@ -70,6 +72,8 @@
 type watcher struct {
 	proxier *Proxier
 	probes  map[identifier.EndpointIncarnation]probeSchedule
+	// searches are the searches for other chains of streams without progress.
+	searches errgroup.Group
 }
 
 // probeSchedule is when an endpoint may be probed again.
@@ -112,11 +116,11 @@
 			continue
 		}
 		w.probes[s.EndpointIncarnation] = probeSchedule{next: now.Add(failedDelay)}
-		w.proxier.rerouteAround(ctx, s.EndpointIncarnation, reason)
+		w.rerouteAround(ctx, s.EndpointIncarnation, reason)
 		return
 	}
 	for _, result := range results {
-		w.proxier.rerouteStalled(ctx, result.report)
+		w.rerouteStalled(ctx, result.report)
 	}
 }
 
@@ -278,12 +282,12 @@
 	return false
 }
 
-// rerouteAround reroutes every attempt whose chain includes the endpoint
-// incarnation, or cancels the attempt so that the request can be retried.
-func (x *Proxier) rerouteAround(ctx context.Context, incarnation identifier.EndpointIncarnation, detail string) {
+// rerouteAround reroutes every attempt whose chain includes the endpoint incarnation.
+func (w *watcher) rerouteAround(ctx context.Context, incarnation identifier.EndpointIncarnation, detail string) {
+	x := w.proxier
 	attempts := x.activeAttempts(func(a *attempt) bool { return a.passesThrough(incarnation) })
 	x.Log.WithField("endpoint", incarnation.Endpoint).WithField("reason", detail).WithField("streams", len(attempts)).Warn("endpoint given up for its streams")
-	x.rerouteAll(ctx, attempts, &stageError{
+	w.reroute(ctx, attempts, &stageError{
 		incarnation: incarnation,
 		detail:      detail,
 	})
@@ -291,7 +295,8 @@
 
 // rerouteStalled reroutes the attempts that an endpoint reports as stalled by
 // another stage.
-func (x *Proxier) rerouteStalled(ctx context.Context, report director.Report) {
+func (w *watcher) rerouteStalled(ctx context.Context, report director.Report) {
+	x := w.proxier
 	for id, address := range report.Stalled {
 		attempts := x.activeAttempts(func(a *attempt) bool { return a.stream.job.Request.ID == id })
 		if len(attempts) == 0 {
@@ -299,23 +304,36 @@
 		}
 		incarnation := stageAt(attempts[0].chain(), address).EndpointIncarnation
 		x.Log.WithField("endpoint", incarnation.Endpoint).WithField("request", id).Warn("endpoint holds a stream up")
-		x.rerouteAll(ctx, attempts, &stageError{
+		w.reroute(ctx, attempts, &stageError{
 			incarnation: incarnation,
 			detail:      "stalls the stream",
 		})
 	}
 }
 
-func (x *Proxier) rerouteAll(ctx context.Context, attempts []*attempt, cause *stageError) {
-	var group errgroup.Group
+// reroute moves the attempts around the stage that failed. It starts a search for another
+// chain for those that can't be moved.
+func (w *watcher) reroute(ctx context.Context, attempts []*attempt, cause *stageError) {
+	var moves errgroup.Group
 	for _, a := range attempts {
-		group.Go(func() error {
-			a.reroute(ctx, cause)
+		if !a.rerouting.CompareAndSwap(false, true) {
+			continue
+		}
+		moves.Go(func() error {
+			if a.moveAround(ctx, cause) {
+				a.rerouting.Store(false)
+				return nil
+			}
+			w.searches.Go(func() error {
+				defer a.rerouting.Store(false)
+				a.handOver(ctx, cause)
+				return nil
+			})
 			return nil
 		})
 	}
-	// Attempts that cannot be rerouted are cancelled; there is no other error.
-	_ = group.Wait()
+	// A move that fails is logged where it was tried.
+	_ = moves.Wait()
 }
 
 // stageAt returns the chain's stage with the address, or the first stage if there
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -50,6 +50,8 @@
 	unanswered bool
 	// suspect is set if the last endpoint crashed and the request may be the cause.
 	suspect bool
+	// next is the ticket for the next attempt, if it is acquired already.
+	next *acquirer.Ticket
 
 	mu    sync.Mutex
 	avoid []identifier.EndpointIncarnation
@@ -74,13 +76,14 @@
 const maxChains = 8
 
 func (s *stream) run(ctx context.Context) error {
+	defer s.releaseNext()
 	for {
 		err := s.tryChain(ctx)
 		if err == nil {
 			s.logServed()
 			return nil
 		}
-		retry := s.mayRetry(ctx, err)
+		retry := s.replaced(ctx, err) || s.mayRetry(ctx, err)
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			s.logFailure(err, retry)
 		}
@@ -172,7 +175,11 @@
 		return err
 	}
 	defer pass.End()
-	ticket, err := s.acquireTicket(ctx)
+	ticket := s.next
+	s.next = nil
+	if ticket == nil {
+		ticket, err = s.acquireTicket(ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -181,15 +188,17 @@
 		return quarantined(refusal)
 	}
 	a := &attempt{
-		stream:          s,
-		ticket:          ticket,
-		forwardedBefore: s.forwarded,
-		startedAt:       time.Now(),
+		stream:      s,
+		ticket:      ticket,
+		resumedFrom: s.lastEvent.Load(),
+		startedAt:   time.Now(),
+		replaceable: s.job.Route.Repetition.Repeatable() && s.runs+1 < s.job.Route.Attempts,
 	}
 	err = a.run(ctx)
-	used := a.finish()
-	used.Release(a.outcome())
+	used, next := a.finish()
+	used.Release(a.outcome(a.failed))
 	s.chain = used.Chain
+	s.next = next
 	s.unanswered = a.unanswered()
 	s.recordEvidence(ctx, a, err)
 	if a.failed.Endpoint != "" {
@@ -203,12 +212,22 @@
 // from before the endpoint said so.
 const maxPausedChains = 2
 
-// acquireTicket acquires a chain that does not start at an endpoint that wants no requests.
+// acquireTicket acquires a chain for the next attempt.
 func (s *stream) acquireTicket(ctx context.Context) (*acquirer.Ticket, error) {
 	requested := time.Now()
 	defer func() { s.timing.queued += time.Since(requested) }()
+	return s.acquireUnpaused(ctx)
+}
+
+// acquireUnpaused acquires a chain without the given endpoints that does not start at an
+// endpoint that wants no requests. It may be called while the stream runs.
+func (s *stream) acquireUnpaused(ctx context.Context, avoid ...identifier.EndpointIncarnation) (*acquirer.Ticket, error) {
 	for n := 1; ; n++ {
-		ticket, err := s.proxier.Tickets.Acquire(ctx, s.job.Service, s.newAsk())
+		ask := s.newAsk()
+		for _, incarnation := range avoid {
+			ask.Avoid = append(ask.Avoid, markOf(incarnation))
+		}
+		ticket, err := s.proxier.Tickets.Acquire(ctx, s.job.Service, ask)
 		if err != nil {
 			return nil, err
 		}
