End a run only once its successor has begun to answer

What callers saw: a stream that was taken from a silent endpoint for a chain that refused it, could not be reached or was silent too stood still until its caller left, or was broken off, although the first endpoint went on.

Cause: ended the run as soon as a ticket and a retry were there. Beside that: a run of the same endpoint could replace it; the watcher waited for moves of streams that stay, again and again; a run that stays recorded no crash; requests without a header were ended after two seconds; a ticket that was suspended and resumed in one message was unknown to its owner.

Change: the successor is opened while the run goes on, and replaces it with its header. Runs at the same endpoint don't count, those that failed count as runs. A stream is moved or searched for once for each silence. What has begun to be answered records the possible crash at the start of the search; an answer clears it. The owner is told that a ticket stalls, and that it goes on, in one list of its messages, so that their order holds.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -183,12 +183,6 @@
 // Release returns the ticket to the pool's owner.
 func (t *Ticket) Release(o Outcome) {
 	t.revoke()
-	t.Suspend(o)
-}
-
-// Suspend gives the chain back to the pool's owner, although the request still runs on it
-// and may go on.
-func (t *Ticket) Suspend(o Outcome) {
 	if t.pool == nil {
 		return
 	}
@@ -206,16 +200,23 @@
 	})
 }
 
-// Resume tells the pool's owner that a suspended ticket is in use again. The owner may have
-// granted the chain to others meanwhile.
-func (t *Ticket) Resume() {
-	if t.pool == nil {
-		return
+// ReportStall tells the pool's owner that the request makes no progress because of an
+// endpoint. The ticket stays in use, but others may get the places.
+func (t *Ticket) ReportStall(failed identifier.EndpointIncarnation) {
+	held := t.held()
+	held.Failed = markOf(failed)
+	t.report(held)
+}
+
+// ReportProgress tells the pool's owner that a request that stalled goes on.
+func (t *Ticket) ReportProgress() {
+	t.report(t.held())
+}
+
+func (t *Ticket) report(held *messenger.Held) {
+	if t.pool != nil {
+		t.pool.out.Add(func(m *messenger.ToOwner) { m.Held = append(m.Held, held) })
 	}
-	t.pool.mu.Lock()
-	t.pool.tickets[identifier.Request(t.ask.GetRequest())] = t
-	t.pool.mu.Unlock()
-	t.pool.out.Add(func(m *messenger.ToOwner) { m.Held = append(m.Held, t.held()) })
 }
 
 // held returns the ticket as it is reported to an owner.
@@ -268,14 +269,18 @@
 
 func limitOf(incarnation identifier.EndpointIncarnation, perSecond float64) *messenger.EndpointLimit {
 	return &messenger.EndpointLimit{
-		Endpoint: &messenger.Mark{
-			Endpoint:    string(incarnation.Endpoint),
-			Incarnation: uint64(incarnation.Incarnation),
-		},
+		Endpoint:  markOf(incarnation),
 		PerSecond: perSecond,
 	}
 }
 
+func markOf(incarnation identifier.EndpointIncarnation) *messenger.Mark {
+	return &messenger.Mark{
+		Endpoint:    string(incarnation.Endpoint),
+		Incarnation: uint64(incarnation.Incarnation),
+	}
+}
+
 // deliver passes an owner's decisions to the requests that they are about.
 func (p *pool) deliver(m *messenger.FromOwner) {
 	p.mu.Lock()
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -210,6 +210,9 @@
 		p.sessionByRequest[ticket.Request] = session
 		delete(p.expiries, ticket.Request)
 		p.scheduler.Adopt(now, ticket)
+		if failed := h.GetFailed(); failed != nil {
+			p.scheduler.Stall(now, ticket.Request, incarnationOf(failed))
+		}
 	}
 	for _, r := range m.GetReleases() {
 		p.dropRequest(identifier.Request(r.GetRequest()))
@@ -240,10 +243,7 @@
 	if p.key.Standalone {
 		perSecond /= float64(n)
 	}
-	p.scheduler.SetLimit(now, identifier.EndpointIncarnation{
-		Endpoint:    identifier.Endpoint(l.GetEndpoint().GetEndpoint()),
-		Incarnation: identifier.Incarnation(l.GetEndpoint().GetIncarnation()),
-	}, perSecond)
+	p.scheduler.SetLimit(now, incarnationOf(l.GetEndpoint()), perSecond)
 	return nil
 }
 
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -30,14 +30,18 @@
 		ask.Tier = identifier.Free
 	}
 	for _, m := range a.GetAvoid() {
-		ask.Avoid = append(ask.Avoid, identifier.EndpointIncarnation{
-			Endpoint:    identifier.Endpoint(m.GetEndpoint()),
-			Incarnation: identifier.Incarnation(m.GetIncarnation()),
-		})
+		ask.Avoid = append(ask.Avoid, incarnationOf(m))
 	}
 	return ask
 }
 
+func incarnationOf(m *messenger.Mark) identifier.EndpointIncarnation {
+	return identifier.EndpointIncarnation{
+		Endpoint:    identifier.Endpoint(m.GetEndpoint()),
+		Incarnation: identifier.Incarnation(m.GetIncarnation()),
+	}
+}
+
 // TermsOf returns the terms that an ask states for its rank; nil if none are
 // declared.
 func TermsOf(r *declarer.Rank) *messenger.Terms {
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -15,22 +15,30 @@
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/exchanger"
+	"heatherhold.dev/router/quarantiner"
 )
 
-// attempt is one attempt to run a request on a chain, which may be replaced by
-// another while the run continues.
+// attempt is one attempt to run a request on a chain, which may be replaced by another while
+// the run continues. A stream has one attempt, and while that makes no progress a second one that
+// may replace it.
 type attempt struct {
 	stream *stream
-	// resumedFrom is the last event that the caller had received when the attempt started.
+	// ctx ends with the attempt, and cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	pass   *quarantiner.Pass
+	// resumedFrom is the last event that the caller had received when the attempt started,
+	// and runsBefore the number of runs of the request.
 	resumedFrom int64
+	runsBefore  int
 	startedAt   time.Time
-	// replaceable is set if the stream may run again after this attempt.
-	replaceable bool
 	// failed is the endpoint incarnation that caused the attempt to fail; zero if
 	// none did.
-	failed   identifier.EndpointIncarnation
+	failed identifier.EndpointIncarnation
+	// ran is set once an endpoint may have run the request.
+	ran      bool
 	response *exchanger.Response
-	cancel   context.CancelCauseFunc
+	metadata courier.ResponseMetadata
 	// answering is set once the endpoint has sent the header of a stream, and progressed
 	// once an event of the attempt was forwarded.
 	answering  atomic.Bool
@@ -44,17 +52,33 @@
 	// forwarded to the caller.
 	bytesSinceProgress int
 
-	// rerouting is set while the stream is being rerouted.
-	rerouting atomic.Bool
-	// suspended is set while the attempt makes no progress and its ticket is suspended.
-	suspended atomic.Bool
+	// searching is set while another chain is looked for, because the attempt makes no
+	// progress.
+	searching atomic.Bool
 	mu        sync.Mutex
 	ticket    *acquirer.Ticket
-	// next is the ticket for the run that replaces the attempt, and stopSearch ends the
-	// search for one.
-	next       *acquirer.Ticket
+	// stopSearch ends the search, and next is the attempt that was found.
 	stopSearch context.CancelFunc
-	finished   bool
+	next       *attempt
+	// vainRuns counts the runs that were to replace the attempt and failed.
+	vainRuns int
+	finished bool
+}
+
+// newAttempt returns an attempt with the ticket's chain. The ticket is released and the pass
+// ended by the caller.
+func (s *stream) newAttempt(ctx context.Context, ticket *acquirer.Ticket, pass *quarantiner.Pass, runsBefore int) *attempt {
+	ctx, cancel := context.WithCancelCause(ctx)
+	return &attempt{
+		stream:      s,
+		ctx:         ctx,
+		cancel:      cancel,
+		pass:        pass,
+		resumedFrom: s.lastEvent.Load(),
+		runsBefore:  runsBefore,
+		startedAt:   time.Now(),
+		ticket:      ticket,
+	}
 }
 
 // stageError reports a failure of one stage of a chain.
@@ -68,18 +92,16 @@
 	return e.incarnation.String() + " " + e.detail
 }
 
+// run runs the attempt until it ends, or ctx does. It opens it unless that was done before.
 func (a *attempt) run(ctx context.Context) error {
 	x := a.stream.proxier
-	ctx, a.cancel = context.WithCancelCause(ctx)
 	defer a.cancel(nil)
+	defer context.AfterFunc(ctx, func() { a.cancel(context.Cause(ctx)) })()
 	x.addActive(a)
 	defer x.removeActive(a)
-	err := a.open(ctx)
-	if err == nil {
-		err = a.forwardEvents()
-	}
+	err := a.answer()
 	var stage *stageError
-	if cause := context.Cause(ctx); err != nil && errors.As(cause, &stage) {
+	if cause := context.Cause(a.ctx); err != nil && !errors.Is(err, errCallerWrite) && errors.As(cause, &stage) {
 		err = cause
 	}
 	if errors.As(err, &stage) {
@@ -88,9 +110,30 @@
 	return err
 }
 
+// answer passes the answer on to the caller.
+func (a *attempt) answer() error {
+	if a.response == nil {
+		if err := a.open(); err != nil {
+			return err
+		}
+	}
+	if err := a.begin(); err != nil {
+		return err
+	}
+	return a.forwardEvents()
+}
+
+// replaceable reports whether the request may run again after this attempt.
+func (a *attempt) replaceable() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	route := a.stream.job.Route
+	return route.Repetition.Repeatable() && a.runsBefore+1+a.vainRuns < route.Attempts
+}
+
 // open sends the request to the chain's first stage and reads the header of the
 // response.
-func (a *attempt) open(ctx context.Context) error {
+func (a *attempt) open() error {
 	s := a.stream
 	chain := a.chain()
 	metadata := courier.RequestMetadata{
@@ -103,19 +146,14 @@
 	if s.engine.Layers > 0 {
 		metadata.Chain = chain
 	}
-	response, err := s.proxier.Exchanger.Open(ctx, s.proxier.newRequest(s.job, chain[0].Address, s.sent.add(chain[0].Address), metadata))
-	switch {
-	case errors.Is(err, exchanger.ErrNotSent):
-		s.proxier.Exchanger.CloseIdle(chain[0].Address)
-		return a.recordFailure(err, chain[0].EndpointIncarnation)
-	case err != nil:
-		s.ran = true
-		s.runs++
+	response, err := s.proxier.Exchanger.Open(a.ctx, s.proxier.newRequest(s.job, chain[0].Address, s.addSent(chain[0].Address), metadata))
+	if err != nil {
+		a.ran = !errors.Is(err, exchanger.ErrNotSent)
 		s.proxier.Exchanger.CloseIdle(chain[0].Address)
 		return a.recordFailure(err, chain[0].EndpointIncarnation)
 	}
 	a.response = response
-	return a.handleHeader()
+	return a.checkResponse()
 }
 
 // reportLimit tells the pool's owner which limit the first stage names.
@@ -151,47 +189,49 @@
 	return err
 }
 
-// handleHeader checks the header of the response and, for a stream, forwards it to
-// the caller.
-func (a *attempt) handleHeader() error {
+// checkResponse checks that the response is one of an endpoint that ran the request.
+func (a *attempt) checkResponse() error {
 	s := a.stream
-	info := s.proxier.Codec.ParseResponse(s.job.Request, a.response.Status, a.response.Header)
-	a.reportLimit(info)
-	a.recordWishes(info)
-	if info.NotRun && !unidentified(a.response, info) {
-		status := a.response.Status
-		a.response.Discard()
-		failed := stageAt(a.chain(), info.RefusedBy)
-		return a.recordFailure(errors.Wrapf(errNotRun, "status %d, caused by %s", status, failed.Endpoint), failed.EndpointIncarnation)
+	status := a.response.Status
+	a.metadata = s.proxier.Codec.ParseResponse(s.job.Request, status, a.response.Header)
+	a.reportLimit(a.metadata)
+	a.recordWishes(a.metadata)
+	if a.metadata.NotRun && !unidentified(a.response, a.metadata) {
+		failed := stageAt(a.chain(), a.metadata.RefusedBy)
+		return a.reject(errors.Wrapf(errNotRun, "status %d, caused by %s", status, failed.Endpoint), failed)
 	}
-	s.ran = true
-	s.runs++
-	if unidentified(a.response, info) {
-		status := a.response.Status
-		a.response.Discard()
-		return a.recordFailure(errors.Wrapf(errUnidentified, "status %d", status), a.chain()[0].EndpointIncarnation)
+	a.ran = true
+	if unidentified(a.response, a.metadata) {
+		return a.reject(errors.Wrapf(errUnidentified, "status %d", status), a.chain()[0])
 	}
-	if unsigned(a.response.Status, info) {
-		status := a.response.Status
-		a.response.Discard()
-		return a.recordFailure(errors.Wrapf(errUnsigned, "status %d", status), a.chain()[0].EndpointIncarnation)
+	if unsigned(status, a.metadata) {
+		return a.reject(errors.Wrapf(errUnsigned, "status %d", status), a.chain()[0])
 	}
-	if a.response.Status >= http.StatusInternalServerError && (s.started || (s.job.Route.Repetition.Repeatable() && s.runs < s.job.Route.Attempts)) {
-		status := a.response.Status
-		a.response.Discard()
-		return a.recordFailure(errors.Wrapf(errFailed, "status %d", status), stageAt(a.chain(), info.RefusedBy).EndpointIncarnation)
+	a.answering.Store(status == http.StatusOK)
+	return nil
+}
+
+// reject discards the response and returns err; failed is the stage that is to blame.
+func (a *attempt) reject(err error, failed identifier.Stage) error {
+	a.response.Discard()
+	return a.recordFailure(err, failed.EndpointIncarnation)
+}
+
+// begin checks that the response can be passed on and, for a stream, forwards its header to
+// the caller.
+func (a *attempt) begin() error {
+	s := a.stream
+	status := a.response.Status
+	if status >= http.StatusInternalServerError && (s.started || a.replaceable()) {
+		return a.reject(errors.Wrapf(errFailed, "status %d", status), stageAt(a.chain(), a.metadata.RefusedBy))
 	}
-	if a.response.Status != http.StatusOK && s.started {
-		status := a.response.Status
+	if status != http.StatusOK && s.started {
 		a.response.Discard()
 		return errors.Wrapf(errFailed, "status %d for a resumed stream", status)
 	}
 	if s.started && !s.continues(a.response) {
-		contentType := a.response.Header.Get("Content-Type")
-		a.response.Discard()
-		return a.recordFailure(errors.Wrapf(errFailed, "content type %.40q for a resumed stream", contentType), a.chain()[0].EndpointIncarnation)
+		return a.reject(errors.Wrapf(errFailed, "content type %.40q for a resumed stream", a.response.Header.Get("Content-Type")), a.chain()[0])
 	}
-	a.answering.Store(a.response.Status == http.StatusOK)
 	if !s.started && a.answering.Load() {
 		s.writeHeader(a.response)
 	}
@@ -229,11 +269,11 @@
 			err = errNoEvents
 		}
 		if errors.Is(err, io.EOF) {
-			a.response.Close(s.proxier.Codec.ParseResponse(s.job.Request, a.response.Status, a.response.Header).IdleTimeout)
+			a.response.Close(a.metadata.IdleTimeout)
 			return s.writeEvents(out, a.pending)
 		}
 		if err == nil {
-			a.goOn()
+			a.stopSearching()
 			err = a.bufferEvent(e)
 		}
 		if err != nil {
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -29,7 +29,7 @@
 // needs no verdict: the parts of its prompt crash no endpoint.
 func (s *stream) admit() (*quarantiner.Pass, error) {
 	parts := s.job.Request.Parts
-	if s.forwarded > 0 {
+	if s.resumed() {
 		parts = nil
 	}
 	pass, refusal := s.proxier.Quarantiner.Admit(time.Now(), parts)
@@ -57,24 +57,41 @@
 	return errors.As(err, &e) && e.Kind == classifier.Quarantined
 }
 
-// recordEvidence records what a finished attempt says about the parts of the prompt. If
-// the endpoint crashed before the first event, each of them may be the cause.
-func (s *stream) recordEvidence(ctx context.Context, a *attempt, err error) {
+// recordEvidence records what an attempt that ended with err says about the parts of the
+// prompt. If the endpoint crashed before the first event, each of them may be the cause, and
+// the result is true.
+func (s *stream) recordEvidence(ctx context.Context, a *attempt, err error) bool {
 	q := s.proxier.Quarantiner
 	parts := s.job.Request.Parts
-	s.suspect = false
 	if len(parts) == 0 {
-		return
+		return false
 	}
 	if a.progressed.Load() && a.failed.Endpoint == "" {
 		q.RecordAnswer(time.Now(), parts)
-		return
+		return false
 	}
-	if s.forwarded > 0 || !a.unanswered() || ctx.Err() != nil || !s.proxier.crashed(ctx, a, err) {
-		return
+	if s.resumed() || !a.unanswered() || ctx.Err() != nil || !s.proxier.crashed(ctx, a, err) {
+		return false
 	}
-	s.suspect = true
 	q.RecordCrash(time.Now(), a.failed, parts)
+	return true
+}
+
+// recordSilence records that an endpoint may have crashed under a request that it had begun to
+// answer. If it has not, the answer shows it. The result is false if the endpoint was not at
+// the request's first event.
+func (s *stream) recordSilence(a *attempt, cause *stageError) bool {
+	parts := s.job.Request.Parts
+	if len(parts) == 0 || s.resumed() || !a.unanswered() || cause.detail != reasonUnresponsive {
+		return false
+	}
+	s.proxier.Quarantiner.RecordCrash(time.Now(), cause.incarnation, parts)
+	return true
+}
+
+// resumed reports whether the caller has received events.
+func (s *stream) resumed() bool {
+	return s.lastEvent.Load() > s.job.Request.LastEvent
 }
 
 // crashed reports whether the attempt failed because its endpoint ended. A lost
@@ -168,10 +185,5 @@
 	if !s.suspect {
 		return
 	}
-	t := time.NewTimer(verdictDelay)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	sleep(ctx, verdictDelay)
 }
--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -5,141 +5,197 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/acquirer"
+	"heatherhold.dev/router/quarantiner"
 )
 
-// longestSilence is how long an endpoint that is sound may send nothing. A request that has
-// got no part of its answer by then is ended, so that its caller hears of it.
-const longestSilence = 2 * time.Second
-
-// errNoRetryLeft reports that the retry budget of the service is used up.
-var errNoRetryLeft = errors.New("no retry is left")
+var (
+	// errNoRetryLeft reports that the retry budget of the service is used up.
+	errNoRetryLeft = errors.New("no retry is left")
+	// errSameEndpoint reports a chain through the endpoint that is to be avoided.
+	errSameEndpoint = errors.New("the only chain is through the same endpoint")
+)
 
-// handOver looks for another chain for the stream of an attempt without progress, and ends
-// the attempt once there is one. An endpoint that is silent may be sound, so that the attempt
-// goes on meanwhile: its next event ends the search. A stream that may not run again stays
-// where it is.
+// handOver looks for another chain for an attempt without progress, for its run or for
+// another one. An endpoint that is silent may be sound, so that the attempt goes on
+// meanwhile: the search ends with its next event, or once another run has begun to answer.
 func (a *attempt) handOver(ctx context.Context, cause *stageError) {
-	s := a.stream
-	ctx, stop := context.WithDeadline(ctx, s.job.Deadline)
+	search, stop := context.WithDeadline(ctx, a.stream.job.Deadline)
 	defer stop()
-	a.suspend(cause, stop)
-	if !a.replaceable {
+	if !a.startSearch(stop, cause) {
 		return
 	}
-	if !a.answering.Load() {
-		expire := time.AfterFunc(longestSilence, func() { a.expire(cause) })
-		defer expire.Stop()
+	if a.stream.recordSilence(a, cause) {
+		// The request may have crashed the endpoint.
+		sleep(search, verdictDelay)
 	}
-	for {
-		ticket, err := s.acquireReplacement(ctx, cause.incarnation)
+	for waits := false; search.Err() == nil; waits = true {
+		err := a.tryHandOver(ctx, search, cause)
 		if err == nil {
-			err = a.replace(ticket, cause)
-		}
-		if err == nil || ctx.Err() != nil {
 			return
 		}
-		s.proxier.log(s.job).WithError(err).WithField("endpoint", cause.incarnation.Endpoint).Info("no other chain for the stream yet")
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(resumeInterval):
+		if !waits {
+			a.stream.proxier.log(a.stream.job).WithError(err).WithField("endpoint", cause.incarnation.Endpoint).WithField("reason", cause.detail).Info("stream waits at its chain")
 		}
+		sleep(search, resumeInterval)
 	}
 }
 
-// suspend gives the attempt's chain back, because it makes no progress, unless the attempt
-// has finished. stop ends the search for another chain.
-func (a *attempt) suspend(cause *stageError, stop context.CancelFunc) {
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// startSearch tells the pool's owner of the failure, and lets stop be called when the attempt
+// makes progress. It returns false if the attempt has finished.
+func (a *attempt) startSearch(stop context.CancelFunc, cause *stageError) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.finished {
-		stop()
-		return
+		return false
 	}
 	a.stopSearch = stop
-	if !a.suspended.CompareAndSwap(false, true) {
-		return
-	}
-	a.ticket.Suspend(a.outcome(cause.incarnation))
-	a.stream.proxier.log(a.stream.job).WithFields(logrus.Fields{
-		"endpoint":    cause.incarnation.Endpoint,
-		"reason":      cause.detail,
-		"replaceable": a.replaceable,
-	}).Info("stream waits at its chain")
+	a.ticket.ReportStall(cause.incarnation)
+	return true
 }
 
-// goOn ends the search for another chain, because the attempt makes progress or is about to
-// be moved.
-func (a *attempt) goOn() {
-	if !a.suspended.Load() {
+// stopSearching ends the search for another chain, because the attempt makes progress.
+func (a *attempt) stopSearching() {
+	if !a.searching.Load() {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.finished || a.next != nil || !a.suspended.CompareAndSwap(true, false) {
-		return
+	if a.stopSearch != nil && a.next == nil {
+		a.stopSearch()
+		a.stopSearch = nil
+		a.ticket.ReportProgress()
 	}
-	a.endSearch()
-	a.ticket.Resume()
 }
 
-// endSearch ends the search for another chain. The caller holds a.mu.
-func (a *attempt) endSearch() {
-	if a.stopSearch != nil {
-		a.stopSearch()
+// tryHandOver replaces the run by another one or, if the request may not run again, moves it to
+// another chain. ctx is that of the new run, which outlives the search.
+func (a *attempt) tryHandOver(ctx, search context.Context, cause *stageError) error {
+	if !a.replaceable() {
+		return a.moveAround(search, cause.incarnation)
+	}
+	b, err := a.acquireSuccessor(ctx, search, cause.incarnation)
+	if err != nil {
+		return err
+	}
+	if err = b.openUntil(search); err == nil {
+		err = a.replaceBy(search, b, cause)
 	}
+	if err != nil {
+		a.dropSuccessor(ctx, b, err)
+	}
+	return err
 }
 
-// expire ends the attempt if it is still without progress.
-func (a *attempt) expire(cause *stageError) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.suspended.Load() && !a.answering.Load() {
-		a.cancel(cause)
+// acquireSuccessor returns an attempt on a chain without an endpoint. It fails at once if no
+// retry is left.
+func (a *attempt) acquireSuccessor(ctx, search context.Context, avoid identifier.EndpointIncarnation) (*attempt, error) {
+	s := a.stream
+	if s.proxier.budget(time.Now(), s.job.Service).Remaining() < 1 {
+		return nil, errNoRetryLeft
+	}
+	pass, err := s.admit()
+	if err != nil {
+		return nil, err
+	}
+	ticket, err := s.acquireUnpaused(search, avoid)
+	if err != nil {
+		pass.End()
+		return nil, err
+	}
+	if err := s.checkSuccessor(ticket, pass, avoid); err != nil {
+		ticket.Release(acquirer.Outcome{})
+		pass.End()
+		return nil, err
 	}
+	return s.newAttempt(ctx, ticket, pass, a.runsBefore+1+a.vainRuns), nil
 }
 
-// replace ends the attempt in favour of a run with the ticket, unless the attempt has
-// finished or goes on. It fails if no retry is left.
-func (a *attempt) replace(ticket *acquirer.Ticket, cause *stageError) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.finished || !a.suspended.Load() {
-		ticket.Release(acquirer.Outcome{})
-		return nil
+// checkSuccessor takes a retry for a run with the ticket if that may be sent.
+func (s *stream) checkSuccessor(ticket *acquirer.Ticket, pass *quarantiner.Pass, avoid identifier.EndpointIncarnation) error {
+	if contains(ticket.Chain, avoid) {
+		return errSameEndpoint
 	}
-	if !a.stream.proxier.spendRetry(a.stream.job.Service) {
-		ticket.Release(acquirer.Outcome{})
+	if refusal := pass.Check(time.Now()); refusal != nil {
+		return quarantined(refusal)
+	}
+	if !s.proxier.spendRetry(s.job.Service) {
 		return errNoRetryLeft
 	}
-	a.next = ticket
+	return nil
+}
+
+// openUntil opens the attempt, which must begin to answer before the search ends.
+func (a *attempt) openUntil(search context.Context) error {
+	keep := context.AfterFunc(search, func() { a.cancel(context.Cause(search)) })
+	defer keep()
+	if err := a.open(); err != nil {
+		return err
+	}
+	if !a.answering.Load() {
+		return a.reject(errors.Wrapf(errFailed, "status %d", a.response.Status), stageAt(a.chain(), a.metadata.RefusedBy))
+	}
+	return nil
+}
+
+// replaceBy ends the attempt in favour of b, which has begun to answer, unless the search has
+// ended.
+func (a *attempt) replaceBy(search context.Context, b *attempt, cause *stageError) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.finished || search.Err() != nil {
+		return search.Err()
+	}
+	a.next = b
 	a.cancel(cause)
 	return nil
 }
 
-// acquireReplacement acquires a chain without the endpoint incarnation for a run that
-// replaces another one. It fails at once if no retry is left.
-func (s *stream) acquireReplacement(ctx context.Context, avoid identifier.EndpointIncarnation) (*acquirer.Ticket, error) {
-	if s.proxier.budget(time.Now(), s.job.Service).Remaining() < 1 {
-		return nil, errNoRetryLeft
+// dropSuccessor ends b, which does not replace the attempt because of err.
+func (a *attempt) dropSuccessor(ctx context.Context, b *attempt, err error) {
+	a.stream.recordEvidence(ctx, b, err)
+	b.drop()
+	if b.failed.Endpoint != "" {
+		a.stream.addAvoided(b.failed)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b.ran {
+		a.vainRuns++
+	}
+}
+
+// drop ends an attempt that is not run.
+func (a *attempt) drop() {
+	a.cancel(nil)
+	if a.response != nil {
+		a.response.Discard()
 	}
-	return s.acquireUnpaused(ctx, avoid)
+	a.ticket.Release(a.outcome(a.failed))
+	a.pass.End()
 }
 
-// replaced reports whether the attempt that ended with err made way for a run on another
-// chain, for which the stream has a ticket.
+// replaced reports whether an attempt that ended with err is followed by one that has begun
+// already.
 func (s *stream) replaced(ctx context.Context, err error) bool {
-	var stage *stageError
-	return s.next != nil && ctx.Err() == nil && errors.As(err, &stage)
+	return s.next != nil && ctx.Err() == nil && !errors.Is(err, errCallerWrite)
 }
 
-// releaseNext releases the ticket for the next attempt, if there is one.
-func (s *stream) releaseNext() {
+// dropNext ends the attempt that has begun already, if there is one.
+func (s *stream) dropNext() {
 	if s.next != nil {
-		s.next.Release(acquirer.Outcome{})
+		s.next.drop()
 	}
 }
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -35,29 +35,29 @@
 	return a.ticket.Request()
 }
 
-// moveAround makes the first stage continue over a chain without the failed stage. It
-// reports whether it did; it can't if the first stage is the one that failed.
-func (a *attempt) moveAround(ctx context.Context, cause *stageError) bool {
+// errFirstStage reports a stream that can't be moved, because its first stage failed or it
+// has no other.
+var errFirstStage = errors.New("the first stage failed")
+
+// moveAround makes the first stage continue over a chain without the failed stage.
+func (a *attempt) moveAround(ctx context.Context, failed identifier.EndpointIncarnation) error {
 	chain := a.chain()
-	if chain[0].EndpointIncarnation == cause.incarnation || a.stream.engine.Layers == 0 || a.unanswered() {
-		return false
+	if chain[0].EndpointIncarnation == failed || a.stream.engine.Layers == 0 || a.unanswered() {
+		return errFirstStage
 	}
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
-	a.goOn()
-	avoid := []identifier.EndpointIncarnation{cause.incarnation}
+	avoid := []identifier.EndpointIncarnation{failed}
+	var err error
 	for range maxRerouteChains {
-		failed, err := a.tryReroute(ctx, avoid)
-		if err == nil {
-			return true
-		}
-		a.stream.proxier.log(a.stream.job).WithError(err).WithField("avoided", cause.incarnation.Endpoint).Info("stream not moved to another chain")
-		if !errors.Is(err, director.ErrStageUnavailable) || failed.Endpoint == "" || failed == chain[0].EndpointIncarnation {
-			break
+		var missing identifier.EndpointIncarnation
+		missing, err = a.tryReroute(ctx, avoid)
+		if err == nil || !errors.Is(err, director.ErrStageUnavailable) || missing.Endpoint == "" || missing == chain[0].EndpointIncarnation {
+			return err
 		}
-		avoid = append(avoid, failed)
+		avoid = append(avoid, missing)
 	}
-	return false
+	return err
 }
 
 // tryReroute acquires a chain with the same first stage and reroutes the stream
@@ -103,14 +103,21 @@
 	a.stream.proxier.log(a.stream.job).WithField("avoided", failed.Endpoint).WithField("chain", formatChain(ticket.Chain)).Info("stream moved to another chain")
 }
 
-// finish returns the ticket in use and the one for the run that replaces the attempt, if
-// any. It prevents any further rerouting of the attempt.
-func (a *attempt) finish() (used, next *acquirer.Ticket) {
+// finish ends the search for another chain and prevents any further rerouting of the attempt.
+// It returns the ticket in use, the attempt that replaces this one, if any, and how many
+// endpoints may have run the request.
+func (a *attempt) finish() (used *acquirer.Ticket, next *attempt, runs int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.finished = true
-	a.endSearch()
-	return a.ticket, a.next
+	if a.stopSearch != nil {
+		a.stopSearch()
+	}
+	runs = a.vainRuns
+	if a.ran {
+		runs++
+	}
+	return a.ticket, a.next, runs
 }
 
 func markOf(incarnation identifier.EndpointIncarnation) *messenger.Mark {
--- a/router/proxier/silence_test.go
+++ b/router/proxier/silence_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/courier"
 	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
@@ -29,19 +30,16 @@
 // streamHeader is the header of a stream.
 const streamHeader = "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-// pauseOnce returns a serve function that sends the events up to last, with a silence after
-// the first one.
-func pauseOnce(last int) func(int, io.Writer) {
-	return func(after int, w io.Writer) {
-		fmt.Fprint(w, streamHeader)
-		for i := after + 1; i <= last; i++ {
-			writeChunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
-			if i == after+1 {
-				time.Sleep(silence)
-			}
+// pauseOnce serves three events with a silence after the first one.
+func pauseOnce(after int, w io.Writer) {
+	fmt.Fprint(w, streamHeader)
+	for i := after + 1; i <= 3; i++ {
+		writeChunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
+		if i == after+1 {
+			time.Sleep(silence)
 		}
-		fmt.Fprint(w, "0\r\n\r\n")
 	}
+	fmt.Fprint(w, "0\r\n\r\n")
 }
 
 // fallSilent returns a serve function that sends the events up to last and then nothing more.
@@ -101,7 +99,7 @@
 		{name: "no retry left", repetition: cataloguer.Resumable, attempts: 2, spare: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			silent := newEndpoint(t, "silent", pauseOnce(3))
+			silent := newEndpoint(t, "silent", pauseOnce)
 			spare := newEndpoint(t, "spare", dropConnection)
 			f := newFixture(c.repetition, true, silent, spare)
 			f.route.Attempts = c.attempts
@@ -137,7 +135,7 @@
 // TestSilentLaterStageEndsAnswer guards against breaking off a stream whose later stage is
 // silent for a moment and that can't be moved.
 func TestSilentLaterStageEndsAnswer(t *testing.T) {
-	first := newEndpoint(t, "first", pauseOnce(3))
+	first := newEndpoint(t, "first", pauseOnce)
 	silent := newEndpoint(t, "silent", dropConnection)
 	f := newFixture(cataloguer.AtMostOnce, true)
 	f.tickets.chains = [][]identifier.Stage{{stage(first, 0, 2), stage(silent, 2, 4)}}
@@ -189,7 +187,7 @@
 		{name: "failure", other: newEndpoint(t, "broken", reply(http.StatusInternalServerError, "", ""))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			silent := newEndpoint(t, "silent", pauseOnce(3))
+			silent := newEndpoint(t, "silent", pauseOnce)
 			f := newFixture(cataloguer.Resumable, true, silent, c.other)
 			f.orders.unresponsive = silent.Address
 			f.proxier.Retries.Ratio = 0
@@ -203,7 +201,7 @@
 // TestRunEndedForSameEndpoint guards against ending a run for another one at the endpoint that
 // is silent.
 func TestRunEndedForSameEndpoint(t *testing.T) {
-	silent := newEndpoint(t, "silent", pauseOnce(3))
+	silent := newEndpoint(t, "silent", pauseOnce)
 	f := newFixture(cataloguer.Resumable, true, silent)
 	f.orders.unresponsive = silent.Address
 	f.tickets.reuseLast = true
@@ -321,12 +319,12 @@
 	f.proxier.Orderer = orders
 	f.proxier.Tickets = q
 	f.watch(t)
+	var err error
 	for i := range 4 {
-		_, _ = f.serveAs(fmt.Sprint("q", i), &f.route, time.Second)
+		_, err = f.serveAs(fmt.Sprint("q", i), &f.route, time.Second)
 	}
-	time.Sleep(time.Second)
-	if err := func() error { _, err := f.serveAs("q9", &f.route, time.Second); return err }(); kindOf(err) != "quarantined" {
-		t.Errorf("got error %v after four endpoints ended under a part, want it quarantined", err)
+	if got, want := kindOf(err), classifier.Quarantined; got != want {
+		t.Errorf("got error %v after three endpoints ended under a part, want kind %s", err, want)
 	}
 }
 
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -40,8 +41,8 @@
 // endpoint is suspected if every stream through it is stalled, or if several are
 // and they are at least as many as those that progress. It is considered failed
 // if it does not respond to a probe and all of its streams are still stalled, or
-// if it reports that it is slow and is still suspected. Its streams are then
-// rerouted over other chains; those for which there is none stay.
+// if it reports that it is slow and is still suspected. Another chain is then looked
+// for for each of its streams, which stay until there is one.
 func (x *Proxier) Watch(ctx context.Context) error {
 	w := &watcher{
 		proxier: x,
@@ -87,6 +88,8 @@
 	stage       identifier.Stage
 	stalled     int
 	progressing int
+	// searching counts the stalled streams for which another chain is looked for.
+	searching int
 }
 
 // suspected reports whether the endpoint may have failed, because no stream
@@ -134,7 +137,7 @@
 	}
 	var out []identifier.Stage
 	for incarnation, p := range streams {
-		if !p.suspected() || now.Before(w.probes[incarnation].next) {
+		if !p.suspected() || p.stalled == p.searching || now.Before(w.probes[incarnation].next) {
 			continue
 		}
 		delay := min(max(2*w.probes[incarnation].delay, minProbeDelay), maxProbeDelay)
@@ -203,10 +206,13 @@
 				p = &progress{stage: s}
 				out[s.EndpointIncarnation] = p
 			}
-			if state == stateStalled {
-				p.stalled++
-			} else {
+			if state == stateProgressing {
 				p.progressing++
+				continue
+			}
+			p.stalled++
+			if a.searching.Load() {
+				p.searching++
 			}
 		}
 	}
@@ -274,12 +280,12 @@
 // passesThrough reports whether the attempt's chain includes the endpoint
 // incarnation.
 func (a *attempt) passesThrough(incarnation identifier.EndpointIncarnation) bool {
-	for _, s := range a.chain() {
-		if s.EndpointIncarnation == incarnation {
-			return true
-		}
-	}
-	return false
+	return contains(a.chain(), incarnation)
+}
+
+// contains reports whether a chain includes the endpoint incarnation.
+func contains(chain []identifier.Stage, incarnation identifier.EndpointIncarnation) bool {
+	return slices.ContainsFunc(chain, func(s identifier.Stage) bool { return s.EndpointIncarnation == incarnation })
 }
 
 // rerouteAround reroutes every attempt whose chain includes the endpoint incarnation.
@@ -312,27 +318,27 @@
 }
 
 // reroute moves the attempts around the stage that failed. It starts a search for another
-// chain for those that can't be moved.
+// run for those that can't be moved now. Attempts with a search are left alone.
 func (w *watcher) reroute(ctx context.Context, attempts []*attempt, cause *stageError) {
 	var moves errgroup.Group
 	for _, a := range attempts {
-		if !a.rerouting.CompareAndSwap(false, true) {
+		if !a.searching.CompareAndSwap(false, true) {
 			continue
 		}
 		moves.Go(func() error {
-			if a.moveAround(ctx, cause) {
-				a.rerouting.Store(false)
+			if err := a.moveAround(ctx, cause.incarnation); err == nil {
+				a.searching.Store(false)
 				return nil
 			}
 			w.searches.Go(func() error {
-				defer a.rerouting.Store(false)
+				defer a.searching.Store(false)
 				a.handOver(ctx, cause)
 				return nil
 			})
 			return nil
 		})
 	}
-	// A move that fails is logged where it was tried.
+	// What can't be moved is handed over; there is no other error.
 	_ = moves.Wait()
 }
 
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -36,7 +36,6 @@
 	contentType string
 	ran         bool
 	runs        int
-	sent        sentTo
 	// chainsRequested counts the requests for chains, including those for rerouting.
 	chainsRequested atomic.Int64
 	// lastEvent is the id of the last event that the caller received.
@@ -50,10 +49,11 @@
 	unanswered bool
 	// suspect is set if the last endpoint crashed and the request may be the cause.
 	suspect bool
-	// next is the ticket for the next attempt, if it is acquired already.
-	next *acquirer.Ticket
+	// next is the next attempt, if it has begun already.
+	next *attempt
 
 	mu    sync.Mutex
+	sent  sentTo
 	avoid []identifier.EndpointIncarnation
 }
 
@@ -71,12 +71,19 @@
 	s.avoid = append(s.avoid, incarnation)
 }
 
+// addSent records that the request is sent to an address, and reports whether it was before.
+func (s *stream) addSent(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent.add(address)
+}
+
 // maxChains is the number of requested chains, including those that did not run
 // the request, after which a failed request is not retried at once.
 const maxChains = 8
 
 func (s *stream) run(ctx context.Context) error {
-	defer s.releaseNext()
+	defer s.dropNext()
 	for {
 		err := s.tryChain(ctx)
 		if err == nil {
@@ -90,7 +97,9 @@
 		if !retry && !s.waitForRetry(ctx, err) {
 			return finalError(ctx, s.ran, err)
 		}
-		s.awaitVerdict(ctx)
+		if s.next == nil {
+			s.awaitVerdict(ctx)
+		}
 	}
 }
 
@@ -168,43 +177,54 @@
 // errCallerWrite reports that writing to the caller failed.
 var errCallerWrite = errors.New("write to the caller failed")
 
-// tryChain acquires a chain and reads its response to the end.
+// tryChain makes one attempt, and records what it shows.
 func (s *stream) tryChain(ctx context.Context) error {
-	pass, err := s.admit()
+	a, err := s.nextAttempt(ctx)
 	if err != nil {
 		return err
 	}
-	defer pass.End()
-	ticket := s.next
-	s.next = nil
-	if ticket == nil {
-		ticket, err = s.acquireTicket(ctx)
+	defer a.pass.End()
+	err = a.run(ctx)
+	s.finish(a)
+	s.suspect = s.recordEvidence(ctx, a, err)
+	if a.failed.Endpoint != "" {
+		s.addAvoided(a.failed)
+	}
+	return err
+}
+
+// nextAttempt returns the attempt that has begun already, or one on a chain that it acquires.
+func (s *stream) nextAttempt(ctx context.Context) (*attempt, error) {
+	if a := s.next; a != nil {
+		s.next = nil
+		return a, nil
 	}
+	pass, err := s.admit()
 	if err != nil {
-		return err
+		return nil, err
+	}
+	ticket, err := s.acquireTicket(ctx)
+	if err != nil {
+		pass.End()
+		return nil, err
 	}
 	if refusal := pass.Check(time.Now()); refusal != nil {
 		ticket.Release(acquirer.Outcome{})
-		return quarantined(refusal)
-	}
-	a := &attempt{
-		stream:      s,
-		ticket:      ticket,
-		resumedFrom: s.lastEvent.Load(),
-		startedAt:   time.Now(),
-		replaceable: s.job.Route.Repetition.Repeatable() && s.runs+1 < s.job.Route.Attempts,
+		pass.End()
+		return nil, quarantined(refusal)
 	}
-	err = a.run(ctx)
-	used, next := a.finish()
+	return s.newAttempt(ctx, ticket, pass, s.runs), nil
+}
+
+// finish releases the chain of an attempt that has ended and counts its runs.
+func (s *stream) finish(a *attempt) {
+	used, next, runs := a.finish()
 	used.Release(a.outcome(a.failed))
 	s.chain = used.Chain
 	s.next = next
 	s.unanswered = a.unanswered()
-	s.recordEvidence(ctx, a, err)
-	if a.failed.Endpoint != "" {
-		s.addAvoided(a.failed)
-	}
-	return err
+	s.ran = s.ran || runs > 0
+	s.runs += runs
 }
 
 // maxPausedChains is how many chains that start at an endpoint that wants no requests are
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -86,6 +86,8 @@
 	reservedTokens identifier.Tokens
 	since          time.Time
 	revoked        bool
+	// stalled is set while the request makes no progress; its load is not counted.
+	stalled bool
 }
 
 // Limits and weights that are the same for every pool.
@@ -258,8 +260,8 @@
 		return
 	}
 	delete(p.active, r)
-	for i, s := range active.chain {
-		p.removeLoad(s.EndpointIncarnation, active.fractions[i], active.reservedTokens)
+	if !active.stalled {
+		p.removeLoads(active)
 	}
 	p.recordOutcome(now, active, o)
 	used := float64(active.ask.Prompt)*promptTokenCost + float64(o.Tokens)
@@ -271,9 +273,13 @@
 	p.observeGap(active, o)
 }
 
-// Adopt records a ticket in use that another owner granted.
+// Adopt records a ticket in use: one that another owner granted, or one whose request had
+// stalled and goes on.
 func (p *Pool) Adopt(now time.Time, t ActiveTicket) {
 	p.prepare()
+	if active, ok := p.active[t.Request]; ok {
+		p.unstall(active)
+	}
 	if p.tracked(t.Request) {
 		return
 	}
