--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -218,6 +218,7 @@
 			Key:    placementLease,
 			Holder: s.Instance,
 			Term:   leaseTerm,
+			Log:    log,
 		},
 		Orderer:  orders,
 		OnPlaced: p.CountPlacement,
