Use no endpoint that names layers beyond the model

What could happen: a row with layers from 0 to 2,147,483,647, or from two thousand million on, can be read, and the endpoint was in the fleet. While its answer is waited for, 15 s each time, no other endpoint of the service is ordered. Either could also stand for a dead stage, as far as its layers reach.

Change: the controller leaves such an endpoint out of the fleet while the configuration in force has fewer layers, and logs it once. Engines without layers are not affected.

--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -67,6 +67,9 @@
 	// lastFailure is when a request to the platform last failed.
 	lastFailure time.Time
 	returned    returnedEntries
+	// beyond has the names of the endpoints that are left out because their entries name
+	// layers that the model does not have.
+	beyond map[string]bool
 }
 
 // runSource is Run for a platform with a Source.
@@ -74,6 +77,7 @@
 	c.fleet = fleet{
 		endpoints:     make(map[string]cataloguer.Endpoint),
 		retainedUntil: make(map[string]time.Time),
+		beyond:        make(map[string]bool),
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
@@ -213,6 +217,7 @@
 func (c *Controller) removeEndpoint(now time.Time, name, reason string) {
 	c.fleet.returned.left(now, c.fleet.endpoints[name].EndpointIncarnation)
 	delete(c.fleet.endpoints, name)
+	delete(c.fleet.beyond, name)
 	c.publishedChangeCount = 0
 	c.Log.WithField("endpoint", name).WithField("reason", reason).Info("endpoint gone")
 }
@@ -220,12 +225,12 @@
 // fleetByService returns the listed endpoints by service, ordered by name. An
 // endpoint that is marked as leaving, for instance by a peer, is returned as
 // leaving. One whose address is also listed with a later incarnation for the same
-// service is left out.
+// service is left out, and one with layers that the model does not have.
 func (c *Controller) fleetByService() map[identifier.Service][]cataloguer.Endpoint {
 	out := make(map[identifier.Service][]cataloguer.Endpoint)
 	latest := c.fleet.latestIncarnations()
-	for _, e := range c.fleet.endpoints {
-		if e.Incarnation < latest[serviceAddressOf(e)] {
+	for name, e := range c.fleet.endpoints {
+		if e.Incarnation < latest[serviceAddressOf(e)] || c.beyondModel(name, e) {
 			continue
 		}
 		e.Leaving = e.Leaving || c.state.Marked(e.EndpointIncarnation)
@@ -239,6 +244,22 @@
 	return out
 }
 
+// beyondModel reports whether an endpoint's entry names layers that the model does not have.
+// No endpoint writes such an entry. It is logged when it is first seen.
+func (c *Controller) beyondModel(name string, e cataloguer.Endpoint) bool {
+	f := &c.fleet
+	engine := c.site.Services[e.Service].Engine
+	if engine == nil || engine.Layers == 0 || !e.HoldsLayers() || e.To <= engine.Layers {
+		delete(f.beyond, name)
+		return false
+	}
+	if !f.beyond[name] {
+		f.beyond[name] = true
+		c.Log.WithField("endpoint", name).WithField("from", e.From).WithField("to", e.To).Warn("endpoint names layers that the model does not have; it is not used")
+	}
+	return true
+}
+
 // serviceAddress is an address at which an endpoint of a service is reached.
 type serviceAddress struct {
 	service identifier.Service
