Don't take an endpoint without memory for one of unlimited memory

What could happen: an endpoint whose row names an accelerator that is not declared, or more layers than fit into its memory, had room for 0 tokens by the estimate, and 0 stands for memory without a limit: with all layers it was a chain of its own, and requests were sent there until they had failed.

Change: where the engine declares the figures, an endpoint without room has memory for one token, and so for no request. Engines that declare no memory are unlimited as before.

Evidence: TestEndpointWithoutMemoryChosen failed before for all six endpoints, TestRunnerOfOddEndpoint for most of the 108 combinations of bounds; both pass, as do granter, scheduler, placer and reconciler with -race.

--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -27,12 +27,23 @@
 		},
 		DataCentre:   endpoint.DataCentre,
 		Slots:        max(slots, 1),
-		MemoryTokens: identifier.Tokens(memoryOvercommit * e.ContextCapacity(endpoint.Accelerator, endpoint.To-endpoint.From)),
+		MemoryTokens: memoryTokens(e, endpoint),
 		TokenTime:    scale(stepTime(e, slots), kind.StepFactor*fraction),
 		PrefillTime:  scale(e.PrefillTime, kind.PrefillFactor*fraction),
 	}
 }
 
+// memoryTokens returns an endpoint's memory for requests. It returns 0, which stands for
+// memory without a limit, only if the engine does not declare the figures: an endpoint
+// without room has memory for a token, and so for no request.
+func memoryTokens(e *cataloguer.Engine, endpoint *cataloguer.Endpoint) identifier.Tokens {
+	n := identifier.Tokens(memoryOvercommit * e.ContextCapacity(endpoint.Accelerator, endpoint.To-endpoint.From))
+	if e.Layers > 0 && e.ContextBytes > 0 && len(e.Accelerators) > 0 {
+		return max(n, 1)
+	}
+	return n
+}
+
 // Share returns r with one n-th of its slots and memory, but at least one slot and
 // memory for one token, for one of n instances that each schedule alone.
 func Share(r planner.Runner, n int) planner.Runner {
