Send no call whose claim another writer has replaced

What could happen on our own interface: a claim's row that says "done" without an answer made the claimer return neither a claim nor an answer, and the call was sent, although it may have run; the answer was then stored under a claim that is nil. A stored status of 0 or 70,000 panics when it is written: the caller's connection is closed without an answer. A row that can't be read was an error that says nothing of whether the call ran.

Change: a claim's row that no instance wrote (unreadable, in an unknown state, done without an answer whose status can be sent) means that the outcome of the earlier call is unknown; the call isn't sent. Other keys are not affected.

--- a/router/claimer/claimer.go
+++ b/router/claimer/claimer.go
@@ -59,6 +59,21 @@
 	Response *Response `json:"answer,omitempty"`
 }
 
+// check returns an error if no instance wrote the record.
+func (r *record) check() error {
+	const minStatus, maxStatus = 200, 999
+	switch r.State {
+	case pending, released:
+		return nil
+	case responded:
+		if r.Response != nil && r.Response.Status >= minStatus && r.Response.Status <= maxStatus {
+			return nil
+		}
+		return errors.New("claim without a usable response")
+	}
+	return errors.Errorf("claim in the unknown state %.40q", string(r.State))
+}
+
 // Claim is the exclusive right to send one call once.
 type Claim struct {
 	row     string
@@ -124,8 +139,12 @@
 // mayWait is set.
 func (c *Claim) resolve(row messenger.Row, mayWait bool) (response *Response, retry bool, err error) {
 	var r record
-	if err := json.Unmarshal(row.Value, &r); err != nil {
-		return nil, false, errors.Wrap(err, "decode claim")
+	err = json.Unmarshal(row.Value, &r)
+	if err == nil {
+		err = r.check()
+	}
+	if err != nil {
+		return nil, false, classifier.Wrap(classifier.OutcomeUnknown, err, "the row of an earlier call with this idempotency key is not understood; the call is not sent again")
 	}
 	switch {
 	case r.State == released:
