Read the instance list beside an odd entry

What callers saw on our own interface: one entry of another type in the platform's list (a number beyond its type, a nested list) made the whole list unreadable. An instance that started then found no endpoint and no other instance; one that ran stopped following the list. An entry without a port, or with port 0 or 65,536, was an endpoint to which calls were sent.

Change: the entries are decoded one by one. One without a name, a role, or an address with a port is left out and logged once, in few bytes; the others hold.

Not covered: an entry nested deeper than 10,000 levels still makes the list unreadable, since the list is one JSON text there; on the users' platform each row is a text of its own.

--- a/router/components.go
+++ b/router/components.go
@@ -104,10 +104,11 @@
 	})
 }
 
-func newPlatform(s *loader.Settings) provider.Platform {
+func newPlatform(s *loader.Settings, log logrus.FieldLogger) provider.Platform {
 	return &provider.Client{
 		URL:     s.Platform.URL,
 		Timeout: s.Platform.Timeout.Std(),
+		Log:     log,
 	}
 }
 
--- a/router/provider/provider.go
+++ b/router/provider/provider.go
@@ -7,13 +7,17 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/messenger"
 )
@@ -60,9 +64,15 @@
 type Client struct {
 	URL     string
 	Timeout time.Duration
+	// Log gets a line for each entry of the instance list that is not understood.
+	Log logrus.FieldLogger
 
 	once   sync.Once
 	client http.Client
+
+	mu sync.Mutex
+	// odd has the entries that were not understood when the list was last read, cut.
+	odd map[string]bool
 }
 
 // Commit executes one transaction.
@@ -105,11 +115,52 @@
 	return err
 }
 
-// List reads the instance list.
+// List reads the instance list. An entry that is not understood is left out.
 func (c *Client) List(ctx context.Context) ([]messenger.ListedInstance, error) {
-	var l messenger.InstanceList
-	_, err := c.call(ctx, http.MethodGet, "/v1/instances", nil, &l)
-	return l.Instances, err
+	var list struct {
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if _, err := c.call(ctx, http.MethodGet, "/v1/instances", nil, &list); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []messenger.ListedInstance
+	odd := make(map[string]bool)
+	for _, data := range list.Instances {
+		l, err := DecodeEntry(data)
+		if err == nil {
+			out = append(out, l)
+			continue
+		}
+		entry := fmt.Sprintf("%.200s", data)
+		if !c.odd[entry] && !odd[entry] {
+			c.Log.WithField("error", fmt.Sprintf("%.200s", err.Error())).WithField("entry", entry).Warn("entry of the instance list not understood; it is set aside")
+		}
+		odd[entry] = true
+	}
+	c.odd = odd
+	return out, nil
+}
+
+// DecodeEntry decodes one entry of the instance list. It returns an error if the entry
+// names nothing that can be reached.
+func DecodeEntry(data []byte) (messenger.ListedInstance, error) {
+	var l messenger.ListedInstance
+	if err := json.Unmarshal(data, &l); err != nil {
+		return l, errors.Wrap(err, "decode entry")
+	}
+	if l.Name == "" || l.Role == "" {
+		return l, errors.New("entry without a name or role")
+	}
+	_, port, err := net.SplitHostPort(l.Address)
+	if err != nil {
+		return l, errors.Wrap(err, "parse entry's address")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return l, errors.Errorf("invalid port in the entry's address %q", l.Address)
+	}
+	return l, nil
 }
 
 // Register adds l to the instance list.
