--- a/core/messenger/platform.go
+++ b/core/messenger/platform.go
@@ -1,5 +1,7 @@
 package messenger
 
+import "fmt"
+
 // The JSON messages of the platform's table service and instance list.
 
 // Row is one row of the table; Version 0 means that the row does not exist.
@@ -45,6 +47,29 @@
 	Processor uint32 `json:"processor,omitempty"`
 }
 
+const (
+	// maxIncarnation is the latest start that is believed, in Unix nanoseconds: in the year
+	// 2116.
+	maxIncarnation = 1 << 62
+	// maxProcessor is the greatest processor time that is believed. Instances that are much
+	// weaker than the strongest own no pools.
+	maxProcessor = 1 << 30
+)
+
+// Check returns an error if l can't be the entry of an instance or endpoint. It does not
+// check the address.
+func (l ListedInstance) Check() error {
+	switch {
+	case l.Name == "" || l.Role == "":
+		return fmt.Errorf("entry with the name %q and the role %q", l.Name, l.Role)
+	case l.Incarnation > maxIncarnation:
+		return fmt.Errorf("invalid incarnation %d", l.Incarnation)
+	case l.Processor > maxProcessor:
+		return fmt.Errorf("invalid processor time %d", l.Processor)
+	}
+	return nil
+}
+
 // InstanceList is the whole instance list.
 type InstanceList struct {
 	Instances []ListedInstance `json:"instances"`
--- a/router/provider/list_test.go
+++ b/router/provider/list_test.go
@@ -31,6 +31,7 @@
 		"a megabyte of digits":  strings.Replace(sound, `:7`, `:`+strings.Repeat("9", 1<<20), 1),
 		"incarnation too large": strings.Replace(sound, `:7`, `:18446744073709551616`, 1),
 		"negative incarnation":  strings.Replace(sound, `:7`, `:-7`, 1),
+		"start too late":        strings.Replace(sound, `:7`, `:18446744073709551615`, 1),
 		"no role":               strings.Replace(sound, `"drafts"`, `""`, 1),
 		"no address":            strings.Replace(sound, `"10.0.0.1:80"`, `""`, 1),
 		"port out of range":     strings.Replace(sound, `:80"`, `:65536"`, 1),
--- a/router/provider/provider.go
+++ b/router/provider/provider.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/core/suppressor"
 )
 
 // ErrUnavailable reports that the platform returned no usable response. A write that
@@ -72,7 +73,7 @@
 
 	mu sync.Mutex
 	// odd has the entries that were not understood when the list was last read, cut.
-	odd map[string]bool
+	odd suppressor.Set
 }
 
 // Commit executes one transaction.
@@ -125,21 +126,19 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.odd.Begin()
+	defer c.odd.End()
 	var out []messenger.ListedInstance
-	odd := make(map[string]bool)
 	for _, data := range list.Instances {
 		l, err := DecodeEntry(data)
 		if err == nil {
 			out = append(out, l)
 			continue
 		}
-		entry := fmt.Sprintf("%.200s", data)
-		if !c.odd[entry] && !odd[entry] {
-			c.Log.WithField("error", fmt.Sprintf("%.200s", err.Error())).WithField("entry", entry).Warn("entry of the instance list not understood; it is set aside")
+		if entry := fmt.Sprintf("%.200s", data); c.odd.Add(entry) {
+			c.Log.WithField("error", suppressor.Cut(err)).WithField("entry", entry).Warn("entry of the instance list not understood; it is set aside")
 		}
-		odd[entry] = true
 	}
-	c.odd = odd
 	return out, nil
 }
 
@@ -150,8 +149,8 @@
 	if err := json.Unmarshal(data, &l); err != nil {
 		return l, errors.Wrap(err, "decode entry")
 	}
-	if l.Name == "" || l.Role == "" {
-		return l, errors.New("entry without a name or role")
+	if err := l.Check(); err != nil {
+		return l, err
 	}
 	_, port, err := net.SplitHostPort(l.Address)
 	if err != nil {
