Read the instance list beside an entry that is nested too deeply

Cause: the list of our own interface is one JSON text, and json.Unmarshal refuses the whole text if one entry is nested deeper than 10,000 levels.

Change: the list is split into its entries by tokens, which have no such limit, and each entry is decoded by itself.

--- a/router/provider/list_test.go
+++ b/router/provider/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -27,6 +28,10 @@
 		"null":                  `null`,
 		"no fields":             `{}`,
 		"nested":                strings.Repeat("[", 5000) + strings.Repeat("]", 5000),
+		"nested too deeply":     strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+		"deeply nested field":   strings.Replace(sound, `"z"`, strings.Repeat(`{"a":[`, 20_000)+strings.Repeat("]}", 20_000), 1),
+		"number beyond floats":  strings.Replace(sound, `:7`, `:1e400`, 1),
+		"not UTF-8":             strings.Replace(sound, `"10.0`, "\"\xff\xfe", 1),
 		"nested field":          strings.Replace(sound, `"z"`, strings.Repeat("[", 5000)+strings.Repeat("]", 5000), 1),
 		"a megabyte of digits":  strings.Replace(sound, `:7`, `:`+strings.Repeat("9", 1<<20), 1),
 		"incarnation too large": strings.Replace(sound, `:7`, `:18446744073709551616`, 1),
@@ -80,6 +85,54 @@
 	}
 }
 
+// TestSplitList checks lists that are written in other ways, and those that are none.
+func TestSplitList(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"instances":[]}`:   ``,
+		`{"instances":null}`: ``,
+		`{}`:                 ``,
+		` { "a" : [ 1 ] , "instances" : [ 1 , {"b":[2, "]"]} ] , "c":{"d":[]} } `: `1;{"b":[2, "]"]}`,
+		`{"instances":["x","\u00e9"],"instances":[2]}`:                            `2`,
+	} {
+		got, err := provider.SplitList([]byte(text))
+		if err != nil || string(bytes.Join(got, []byte(";"))) != want {
+			t.Errorf("%s: got %q and error %v, want %q", text, got, err, want)
+		}
+	}
+	for _, text := range []string{``, `[]`, `null`, `{`, `{"instances":[`, `{"instances":[1,]}`, `{"instances":[{]}`, `{"instances":[1}`} {
+		if got, err := provider.SplitList([]byte(text)); err == nil {
+			t.Errorf("%s: got %q, want an error", text, got)
+		}
+	}
+}
+
+// FuzzList checks that a list is split as json.Unmarshal does, where that can read it.
+func FuzzList(f *testing.F) {
+	f.Add([]byte(`{"instances":[` + soundEntry("a") + `, 5, [1e400] ],"more":{}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := provider.SplitList(data)
+		var want map[string]json.RawMessage
+		if json.Unmarshal(data, &want) != nil || want == nil {
+			return
+		}
+		if err != nil {
+			t.Fatalf("got error %v, want the entries", err)
+		}
+		var entries []json.RawMessage
+		if json.Unmarshal(want["instances"], &entries) != nil {
+			entries = nil
+		}
+		if len(got) != len(entries) {
+			t.Fatalf("got %d entries, want %d", len(got), len(entries))
+		}
+		for i := range got {
+			if !bytes.Equal(bytes.TrimSpace(got[i]), bytes.TrimSpace(entries[i])) {
+				t.Errorf("entry %d: got %s, want %s", i, got[i], entries[i])
+			}
+		}
+	})
+}
+
 // FuzzEntry checks that any entry either names something to use or is left out.
 func FuzzEntry(f *testing.F) {
 	const maxSeedBytes = 1 << 10
--- a/router/provider/provider.go
+++ b/router/provider/provider.go
@@ -7,12 +7,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync"
 	"time"
 
@@ -116,52 +113,6 @@
 	return err
 }
 
-// List reads the instance list. An entry that is not understood is left out.
-func (c *Client) List(ctx context.Context) ([]messenger.ListedInstance, error) {
-	var list struct {
-		Instances []json.RawMessage `json:"instances"`
-	}
-	if _, err := c.call(ctx, http.MethodGet, "/v1/instances", nil, &list); err != nil {
-		return nil, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.odd.Begin()
-	defer c.odd.End()
-	var out []messenger.ListedInstance
-	for _, data := range list.Instances {
-		l, err := DecodeEntry(data)
-		if err == nil {
-			out = append(out, l)
-			continue
-		}
-		if entry := fmt.Sprintf("%.200s", data); c.odd.Add(entry) {
-			c.Log.WithField("error", suppressor.Cut(err)).WithField("entry", entry).Warn("entry of the instance list not understood; it is set aside")
-		}
-	}
-	return out, nil
-}
-
-// DecodeEntry decodes one entry of the instance list. It returns an error if the entry
-// names nothing that can be reached.
-func DecodeEntry(data []byte) (messenger.ListedInstance, error) {
-	var l messenger.ListedInstance
-	if err := json.Unmarshal(data, &l); err != nil {
-		return l, errors.Wrap(err, "decode entry")
-	}
-	if err := l.Check(); err != nil {
-		return l, err
-	}
-	_, port, err := net.SplitHostPort(l.Address)
-	if err != nil {
-		return l, errors.Wrap(err, "parse entry's address")
-	}
-	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
-		return l, errors.Errorf("invalid port in the entry's address %q", l.Address)
-	}
-	return l, nil
-}
-
 // Register adds l to the instance list.
 func (c *Client) Register(ctx context.Context, l messenger.ListedInstance) error {
 	body, err := json.Marshal(l)
