--- a/core/messenger/platform.go
+++ b/core/messenger/platform.go
@@ -31,11 +31,14 @@
 	Rows []Row `json:"rows"`
 }
 
+// RouterRole is the role of router instances in the platform's list.
+const RouterRole = "router"
+
 // ListedInstance is one entry of the platform's instance list, which lags behind the
 // actual state.
 type ListedInstance struct {
 	Name string `json:"name"`
-	// Role is "router" or the service that the endpoint serves.
+	// Role is RouterRole or the service that the endpoint serves.
 	Role        string `json:"role"`
 	Address     string `json:"address"`
 	Incarnation uint64 `json:"incarnation"`
--- a/router/controller/platform.go
+++ b/router/controller/platform.go
@@ -13,9 +13,6 @@
 	"heatherhold.dev/router/executor"
 )
 
-// routerRole is the role of router instances in the platform's list.
-const routerRole = "router"
-
 // markPrefix is the prefix of the table keys under which the marks of drained
 // endpoints are stored.
 const markPrefix = "mark/"
@@ -48,7 +45,7 @@
 func (c *Controller) ownListing() messenger.ListedInstance {
 	return messenger.ListedInstance{
 		Name:        string(c.Settings.Instance),
-		Role:        routerRole,
+		Role:        messenger.RouterRole,
 		Address:     c.Settings.Listen.Peer,
 		Incarnation: c.incarnation,
 		DataCentre:  string(c.Settings.DataCentre),
@@ -60,7 +57,7 @@
 func (c *Controller) applyList(now time.Time, listed []messenger.ListedInstance) {
 	var members []*messenger.Member
 	for _, l := range listed {
-		if l.Role == routerRole {
+		if l.Role == messenger.RouterRole {
 			members = append(members, &messenger.Member{
 				Instance:    l.Name,
 				Address:     l.Address,
--- a/router/controller/view.go
+++ b/router/controller/view.go
@@ -107,7 +107,7 @@
 	endpoints := make(map[identifier.Service][]publisher.Endpoint)
 	for _, l := range c.listed {
 		incarnation := incarnationOf(l)
-		if l.Role == routerRole || l.Leaving || c.state.Marked(incarnation) {
+		if l.Role == messenger.RouterRole || l.Leaving || c.state.Marked(incarnation) {
 			continue
 		}
 		service := identifier.Service(l.Role)
@@ -125,7 +125,7 @@
 func (c *Controller) endpointsNamed(name identifier.Endpoint) []messenger.ListedInstance {
 	var out []messenger.ListedInstance
 	for _, l := range c.listed {
-		if l.Role != routerRole && l.Name == string(name) {
+		if l.Role != messenger.RouterRole && l.Name == string(name) {
 			out = append(out, l)
 		}
 	}
