Name no address twice in a chain

What could happen: two rows name one address and start, for instance because another writer left a copy of an endpoint's row under another key and the endpoint holds other layers now. Both are in the fleet, and a chain could pass through both: endpoints refuse a chain that names one address twice with 400, which is no refusal that a caller tries again.

Change: runners whose address another one has are marked once for each view; the planner puts at most one of them into a chain, also when it repairs one.

Evidence: TestChainThroughOneAddressTwice failed with the marks off (through 10.0.0.1:80 at both ends); it passes, as do planner, scheduler, granter and estimator with -race.

--- a/router/planner/planner.go
+++ b/router/planner/planner.go
@@ -35,6 +35,20 @@
 	NotFirst bool
 	// Cached is the number of the request's prompt tokens that the endpoint has cached.
 	Cached identifier.Tokens
+	// Shared is set if another runner has the same address: at most one of them can be in a
+	// chain.
+	Shared bool
+}
+
+// MarkShared sets Shared of all runners.
+func MarkShared(runners []Runner) {
+	count := make(map[string]int, len(runners))
+	for i := range runners {
+		count[runners[i].Address]++
+	}
+	for i := range runners {
+		runners[i].Shared = count[runners[i].Address] > 1
+	}
 }
 
 // Links reports the delay of one hop between data centres.
@@ -134,6 +148,9 @@
 		best.cost = whole + waiting + s.centres.entryCost(centre)
 	}
 	for _, a := range s.connecting(r) {
+		if r.Shared && s.passes(a.runner, r.Address) {
+			continue
+		}
 		fraction := float64(r.To-a.layer) / float64(r.To-r.From)
 		cost := a.cost + fraction*whole + waiting + s.centres.crossingCost(a.centre, centre)
 		if cost < best.cost && hasMemory(r, s.need, fraction) {
@@ -149,6 +166,16 @@
 	}
 }
 
+// passes reports whether the cheapest chain to runner i passes through an address.
+func (s *search) passes(i int, address string) bool {
+	for ; i >= 0; i = s.nodes[i].prev {
+		if s.runners[i].Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // connecting returns the arrivals at which r can continue.
 func (s *search) connecting(r *Runner) []arrival {
 	first := s.firstArrival(r.From)
--- a/router/planner/repair.go
+++ b/router/planner/repair.go
@@ -33,7 +33,7 @@
 		}
 		to := chain[i-1].To
 		replacementNeed.Entry = dataCentreOf(runners, out[len(out)-1].EndpointIncarnation)
-		replacements := cheapestStages(runners, links, replacementNeed, from, to)
+		replacements := cheapestStages(runners, links, replacementNeed, slices.Concat(chain, out), from, to)
 		if replacements == nil {
 			return nil
 		}
@@ -64,14 +64,17 @@
 	return ""
 }
 
-// cheapestStages returns the cheapest stages that cover exactly layers [from, to),
-// or nil if there are none.
-func cheapestStages(runners []Runner, links Links, need Need, from, to identifier.Layer) []identifier.Stage {
+// cheapestStages returns the cheapest stages that cover exactly layers [from, to) and share
+// no address with chain, or nil if there are none.
+func cheapestStages(runners []Runner, links Links, need Need, chain []identifier.Stage, from, to identifier.Layer) []identifier.Stage {
 	candidates := make([]Runner, 0, len(runners))
 	for _, r := range runners {
 		if r.From >= to || r.To <= from || (!need.Partial && (r.From < from || r.To > to)) {
 			continue
 		}
+		if r.Shared && slices.ContainsFunc(chain, func(s identifier.Stage) bool { return s.Address == r.Address }) {
+			continue
+		}
 		layerCount := float64(r.To - r.From)
 		r.From = max(r.From, from) - from
 		r.To = min(r.To, to) - from
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -28,6 +28,7 @@
 	"heatherhold.dev/router/limiter"
 	"heatherhold.dev/router/loader"
 	"heatherhold.dev/router/logger"
+	"heatherhold.dev/router/planner"
 	"heatherhold.dev/router/proxier"
 	"heatherhold.dev/router/publisher"
 	"heatherhold.dev/router/quarantiner"
@@ -313,7 +314,7 @@
 	if engine == nil {
 		return nil
 	}
-	var reports []scheduler.Report
+	var runners []planner.Runner
 	for i := range v.Fleet[k.Service] {
 		endpoint := &v.Fleet[k.Service][i]
 		if endpoint.Leaving || (engine.Layers > 0 && !endpoint.HoldsLayers()) {
@@ -324,7 +325,12 @@
 		if k.Standalone {
 			runner = estimator.Share(runner, v.Instances())
 		}
-		reports = append(reports, scheduler.Report{Runner: runner})
+		runners = append(runners, runner)
+	}
+	planner.MarkShared(runners)
+	reports := make([]scheduler.Report, 0, len(runners))
+	for _, r := range runners {
+		reports = append(reports, scheduler.Report{Runner: r})
 	}
 	return reports
 }
