--- a/router/provider/provider.go
+++ b/router/provider/provider.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/core/suppressor"
 )
 
 // ErrUnavailable reports that the platform returned no usable response. A write that
@@ -60,9 +62,15 @@
 type Client struct {
 	URL     string
 	Timeout time.Duration
+	// Log gets a line for each entry of the instance list that is not understood.
+	Log logrus.FieldLogger
 
 	once   sync.Once
 	client http.Client
+
+	mu sync.Mutex
+	// odd has the entries that were not understood when the list was last read, cut.
+	odd suppressor.Set
 }
 
 // Commit executes one transaction.
@@ -105,13 +113,6 @@
 	return err
 }
 
-// List reads the instance list.
-func (c *Client) List(ctx context.Context) ([]messenger.ListedInstance, error) {
-	var l messenger.InstanceList
-	_, err := c.call(ctx, http.MethodGet, "/v1/instances", nil, &l)
-	return l.Instances, err
-}
-
 // Register adds l to the instance list.
 func (c *Client) Register(ctx context.Context, l messenger.ListedInstance) error {
 	body, err := json.Marshal(l)
