--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -38,13 +38,33 @@
 	OnRefusal func(classifier.Kind)
 	Log       logrus.FieldLogger
 
-	active atomic.Int64
+	active activeRequests
 	closed atomic.Bool
 }
 
 // Active returns the number of requests being served.
-func (x *Receiver) Active() int64 {
-	return x.active.Load()
+func (x *Receiver) Active() int {
+	return x.active.len()
+}
+
+// LogActive logs each request that is being served at the end of a planned stop that began at
+// stopBegan.
+func (x *Receiver) LogActive(stopBegan time.Time) {
+	x.active.each(func(r *activeRequest) {
+		log := x.Log.WithFields(logrus.Fields{
+			"request":       r.request.ID,
+			"held-ms":       time.Since(r.request.Received).Milliseconds(),
+			"after-stop-ms": r.request.Received.Sub(stopBegan).Milliseconds(),
+		})
+		if r.job != nil {
+			log = log.WithFields(logrus.Fields{
+				"route":      r.job.Route.Name,
+				"repetition": r.job.Route.Repetition,
+				"left-ms":    time.Until(r.job.Deadline).Milliseconds(),
+			})
+		}
+		log.Warn("request not ended by the end of the time to finish")
+	})
 }
 
 // Close makes x refuse all further requests, because there may not be enough time
@@ -63,13 +83,14 @@
 
 // ServeHTTP serves one request.
 func (x *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x.active.Add(1)
-	defer x.active.Add(-1)
 	if x.Publisher.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	v := x.Publisher.View()
 	request, err := x.Codec.DecodeRequest(r)
+	active := &activeRequest{request: request}
+	x.active.add(active)
+	defer x.active.remove(active)
 	setBodyDeadline(w, r, request.Received.Add(callerTimeout(request)))
 	if err != nil {
 		x.refuse(w, v, request, classifier.New(classifier.BadRequest, err.Error()))
@@ -83,7 +104,7 @@
 		})
 		return
 	}
-	responseStarted, err := x.serve(w, r, v, request)
+	responseStarted, err := x.serve(w, r, v, active)
 	if err == nil {
 		return
 	}
@@ -116,7 +137,8 @@
 	})
 }
 
-func (x *Receiver) serve(w http.ResponseWriter, r *http.Request, v *publisher.View, request *courier.Request) (bool, error) {
+func (x *Receiver) serve(w http.ResponseWriter, r *http.Request, v *publisher.View, active *activeRequest) (bool, error) {
+	request := active.request
 	if v.Site == nil || !x.Publisher.Confirmed(time.Now()) {
 		return false, &classifier.Error{
 			Kind:       classifier.StaleConfiguration,
@@ -131,6 +153,7 @@
 	if err != nil {
 		return false, err
 	}
+	x.active.setJob(active, &job)
 	setBodyDeadline(w, r, job.Deadline)
 	if request.Body, err = readBody(w, r, v.Site.Limits.BodyBytes); err != nil {
 		return false, err
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -270,7 +270,8 @@
 // time that the platform grants for the whole stop, it keeps stopMargin back.
 func (s *storeDaemon) stop(ctx context.Context) error {
 	p := s.params
-	noticeEnd := time.Now().Add(p.Settings.Stop.Notice.Std())
+	began := time.Now()
+	noticeEnd := began.Add(p.Settings.Stop.Notice.Std())
 	ctx, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std()-stopMargin)
 	defer cancel()
 	p.Log.WithField("requests", p.Receiver.Active()).Info("stopping: not ready for new work")
@@ -281,6 +282,7 @@
 	p.Receiver.Close()
 	if err := s.caller.Shutdown(ctx); err != nil {
 		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
+		p.Receiver.LogActive(began)
 	}
 	s.depart(context.WithoutCancel(ctx))
 	s.cancel()
