Answer requests that a planned stop leaves no time for

What callers saw: a request that outlasted a planned stop ended with a closed connection, whether it had run, waited for a chain, or was still being read; also one that may not be repeated, whose caller can't know what became of it. Change: at the end each request's context is cancelled with the cause ErrStopping. Its handler answers 504 if an endpoint may have run it, else 503 with Retry-After; a stream that has begun breaks off, since a whole answer is not possible any more, and its caller resumes it elsewhere. The stop waits up to 200 ms for these answers. The margin before the end grows from 600 to 700 ms and is divided by named limits. The race detector's extra second at exit is switched off for processes, so that the test can bound the stop.

--- a/router/harness_test.go
+++ b/router/harness_test.go
@@ -159,6 +159,8 @@
 	}
 	p.cmd.Stdout = p
 	p.cmd.Stderr = p
+	// Without this the race detector adds a second to each exit.
+	p.cmd.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0")
 	if err := p.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
--- a/router/receiver/active.go
+++ b/router/receiver/active.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"sync"
 
 	"heatherhold.dev/core/courier"
@@ -10,6 +11,8 @@
 // activeRequest is a request that is being served.
 type activeRequest struct {
 	request *courier.Request
+	// cancel ends the request.
+	cancel context.CancelCauseFunc
 	// job is nil until the configuration's route for the request is known.
 	job *proxier.Job
 }
--- a/router/receiver/body.go
+++ b/router/receiver/body.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/router/proxier"
 )
 
 // setBodyDeadline sets the read deadline for the request body. Refused requests
@@ -23,6 +25,19 @@
 	}
 }
 
+// readBodyUntil reads a request body of at most limit bytes, until ctx ends.
+func readBodyUntil(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	stop := context.AfterFunc(ctx, func() {
+		// A writer without a connection doesn't support deadlines and needs none.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	data, err := readBody(w, r, limit)
+	if !stop() && errors.Is(context.Cause(ctx), proxier.ErrStopping) {
+		return nil, proxier.NewStoppingError(err)
+	}
+	return data, err
+}
+
 // readBody reads a request body of at most limit bytes; 0 means no limit.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -47,10 +47,11 @@
 	return x.active.len()
 }
 
-// LogActive logs each request that is being served at the end of a planned stop that began at
-// stopBegan.
-func (x *Receiver) LogActive(stopBegan time.Time) {
+// EndActive logs and ends each request that is being served, at the end of a planned stop that
+// began at stopBegan. Its caller gets an error response, unless a part of a response was sent.
+func (x *Receiver) EndActive(stopBegan time.Time) {
 	x.active.each(func(r *activeRequest) {
+		r.cancel(proxier.ErrStopping)
 		log := x.Log.WithFields(logrus.Fields{
 			"request":       r.request.ID,
 			"held-ms":       time.Since(r.request.Received).Milliseconds(),
@@ -88,7 +89,12 @@
 	}
 	v := x.Publisher.View()
 	request, err := x.Codec.DecodeRequest(r)
-	active := &activeRequest{request: request}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	active := &activeRequest{
+		request: request,
+		cancel:  cancel,
+	}
 	x.active.add(active)
 	defer x.active.remove(active)
 	setBodyDeadline(w, r, request.Received.Add(callerTimeout(request)))
@@ -97,21 +103,14 @@
 		return
 	}
 	if x.closed.Load() {
-		x.refuse(w, v, request, &classifier.Error{
-			Kind:       classifier.Stopping,
-			Detail:     "the instance is stopping; retry to reach another instance",
-			RetryAfter: stoppingRetryAfter,
-		})
+		x.refuse(w, v, request, proxier.NewStoppingError(nil))
 		return
 	}
-	responseStarted, err := x.serve(w, r, v, active)
+	responseStarted, err := x.serve(ctx, w, r, v, active)
 	if err == nil {
 		return
 	}
-	// A body that misses its deadline cancels the context too, although the caller
-	// is still connected.
-	bodyTimedOut := classifier.Classify(err).Kind == classifier.TooSlow
-	if errors.Is(r.Context().Err(), context.Canceled) && !bodyTimedOut {
+	if errors.Is(r.Context().Err(), context.Canceled) && !readEnded(ctx, err) {
 		x.log(v, request, err).Info("caller went away")
 		panic(http.ErrAbortHandler)
 	}
@@ -124,6 +123,13 @@
 	x.refuse(w, v, request, err)
 }
 
+// readEnded reports whether the router itself ended the reading of the request, which cancels
+// the context although the caller is still connected: a body missed its deadline, or a planned
+// stop has ended the request.
+func readEnded(ctx context.Context, err error) bool {
+	return classifier.Classify(err).Kind == classifier.TooSlow || errors.Is(context.Cause(ctx), proxier.ErrStopping)
+}
+
 // log returns a log entry for a request that ended with err; v is the view that
 // the decision was based on.
 func (x *Receiver) log(v *publisher.View, request *courier.Request, err error) *logrus.Entry {
@@ -137,7 +143,7 @@
 	})
 }
 
-func (x *Receiver) serve(w http.ResponseWriter, r *http.Request, v *publisher.View, active *activeRequest) (bool, error) {
+func (x *Receiver) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, v *publisher.View, active *activeRequest) (bool, error) {
 	request := active.request
 	if v.Site == nil || !x.Publisher.Confirmed(time.Now()) {
 		return false, &classifier.Error{
@@ -155,10 +161,10 @@
 	}
 	x.active.setJob(active, &job)
 	setBodyDeadline(w, r, job.Deadline)
-	if request.Body, err = readBody(w, r, v.Site.Limits.BodyBytes); err != nil {
+	if request.Body, err = readBodyUntil(ctx, w, r, v.Site.Limits.BodyBytes); err != nil {
 		return false, err
 	}
-	return x.Proxier.Serve(r.Context(), w, job)
+	return x.Proxier.Serve(ctx, w, job)
 }
 
 // newJob returns the job for a request, with what v declares for it.
@@ -219,9 +225,6 @@
 	// staleRetryAfter is the suggested retry delay while the instance waits for
 	// its configuration.
 	staleRetryAfter = 300 * time.Millisecond
-	// stoppingRetryAfter is the suggested retry delay while the instance is
-	// stopping; the retry should reach another instance.
-	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultRetryAfter is the suggested retry delay if the error sets none.
 	defaultRetryAfter = 500 * time.Millisecond
 )
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -42,8 +42,15 @@
 	// use: its soft memory limit.
 	runtimeMemoryShare = 0.7
 	// stopMargin is the part of Stop.Finish, the time that the platform grants
-	// for a stop, that is reserved for the steps after the last request.
-	stopMargin = 600 * time.Millisecond
+	// for a stop, that is reserved for the steps after the last request. The following
+	// constants limit these steps.
+	stopMargin = 700 * time.Millisecond
+	// answerTime is the time for the error responses to requests that have not ended.
+	answerTime = 200 * time.Millisecond
+	// goodbyeTime is the time to notify the peers that the instance is gone.
+	goodbyeTime = 250 * time.Millisecond
+	// componentTime is the time for the components to end.
+	componentTime = 150 * time.Millisecond
 )
 
 // storeDaemonParams are the components that a storeDaemon runs or uses.
@@ -281,20 +288,32 @@
 	time.Sleep(time.Until(noticeEnd))
 	p.Receiver.Close()
 	if err := s.caller.Shutdown(ctx); err != nil {
-		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
-		p.Receiver.LogActive(began)
+		s.endRequests(context.WithoutCancel(ctx), began)
 	}
 	s.depart(context.WithoutCancel(ctx))
 	s.cancel()
-	err := s.wait(stopMargin / 4)
+	err := s.wait(componentTime)
 	p.Log.Info("stopped")
 	return err
 }
 
-// depart notifies the peers that the instance is gone. It takes at most half of
-// stopMargin, so that a peer that does not respond cannot delay the stop.
+// endRequests ends the requests in flight at the end of a stop that began at began, and waits for
+// at most answerTime until their callers have been answered.
+func (s *storeDaemon) endRequests(ctx context.Context, began time.Time) {
+	p := s.params
+	p.Log.WithField("requests", p.Receiver.Active()).Warn("requests ended at the end of the time to finish")
+	p.Receiver.EndActive(began)
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	if err := s.caller.Shutdown(ctx); err != nil && p.Receiver.Active() > 0 {
+		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
+	}
+}
+
+// depart notifies the peers that the instance is gone. It takes at most goodbyeTime, so that a
+// peer that does not respond cannot delay the stop.
 func (s *storeDaemon) depart(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, stopMargin/2)
+	ctx, cancel := context.WithTimeout(ctx, goodbyeTime)
 	defer cancel()
 	result := make(chan error, 1)
 	s.spawn("departure", func() error {
--- /dev/null
+++ b/router/storestop_test.go
@@ -0,0 +1,90 @@
+package main_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hold answers once the caller has gone.
+func hold(_ http.ResponseWriter, r *http.Request) {
+	<-r.Context().Done()
+}
+
+// holdStream sends one event and holds the rest back until the caller has gone.
+func holdStream(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	fmt.Fprint(w, "id: 1\ndata: a\n\n")
+	if err := http.NewResponseController(w).Flush(); err == nil {
+		<-r.Context().Done()
+	}
+}
+
+// awaitExit waits until the router has exited, and requires that its stop took at most limit.
+func (s *storeSystem) awaitExit(t *testing.T, began time.Time, limit time.Duration) {
+	t.Helper()
+	select {
+	case <-s.done:
+	case <-time.After(waitLimit):
+		t.Fatal("the router did not stop")
+	}
+	if got := time.Since(began); got > limit {
+		t.Errorf("the stop took %v, want at most %v", got, limit)
+	}
+	if code := s.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("got exit code %d, want 0", code)
+	}
+}
+
+// TestRequestCutAtEndOfPlannedStop guards against connections that are closed without an answer
+// at the end of a planned stop. Each request outlasts the stop.
+func TestRequestCutAtEndOfPlannedStop(t *testing.T) {
+	const (
+		notice = time.Second
+		finish = 4 * time.Second
+	)
+	s := newStoreSystem(t, notice, finish, hold, holdStream)
+	const long = "X-Deadline-Ms: 25000"
+	before := map[string]<-chan answer{
+		"at most once, sent before the stop":  s.send(t, header("POST", "/once/1", long)),
+		"idempotent, sent before the stop":    s.send(t, header("GET", "/again/1", long)),
+		"HTTP/1.0, sent before the stop":      s.send(t, strings.Replace(header("GET", "/again/2", long), "HTTP/1.1", "HTTP/1.0", 1)),
+		"HTTP/1.0 kept, sent before the stop": s.send(t, strings.Replace(header("GET", "/again/3", long, "Connection: keep-alive"), "HTTP/1.1", "HTTP/1.0", 1)),
+	}
+	stream := s.send(t, header("POST", "/draft/1", long, "X-Model: x", "X-Token-Count: 10,5"))
+	time.Sleep(300 * time.Millisecond)
+	waiting := s.send(t, header("POST", "/draft/2", long, "X-Model: x", "X-Token-Count: 10,5"))
+	body := s.dial(t)
+	io.WriteString(body, header("POST", "/once/2", long, "Content-Length: 10")+"half")
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	s.signal(t, syscall.SIGTERM)
+	time.Sleep(notice / 2)
+	before["at most once, sent late"] = s.send(t, header("POST", "/once/3", long))
+	for name, answers := range before {
+		if got, want := <-answers, http.StatusGatewayTimeout; got.err != nil || got.status != want {
+			t.Errorf("%s: got status %d, error %v; want a complete answer with %d", name, got.status, got.err, want)
+		}
+	}
+	for name, answers := range map[string]<-chan answer{
+		"waits for a chain": waiting,
+		"unread body":       s.await(body),
+	} {
+		got := <-answers
+		if want := http.StatusServiceUnavailable; got.err != nil || got.status != want || got.retryAfter == "" {
+			t.Errorf("%s: got status %d, Retry-After %q, error %v; want a complete answer with %d", name, got.status, got.retryAfter, got.err, want)
+		}
+	}
+	got := <-stream
+	if got.status != http.StatusOK || got.body != "id: 1\ndata: a\n\n" || got.err == nil {
+		t.Errorf("stream: got %d, %q, error %v; want its events and an end that does not look complete", got.status, got.body, got.err)
+	}
+	if earliest := began.Add(finish * 3 / 4); got.at.Before(earliest) {
+		t.Errorf("the stream ended %v before the last quarter of the time to finish", earliest.Sub(got.at))
+	}
+	s.awaitExit(t, began, finish)
+}
