Refuse requests that usually outlast a planned stop as they come

Cause: the stop's end was not known where requests are taken in; only the notice's end refused them, all alike. Change: the receiver keeps the durations of the last 64 requests of each service, for model services by expected token. During a stop it answers 503 (stopping) at once if the request would be cut more likely than not or, for one that may not be repeated, with a chance of one in ten. A request whose own deadline comes before the end is always taken, and so is one of a service with fewer than ten known durations. Test: TestLongRequestTakenDuringPlannedStop, which failed before with 504 for the long request (the endpoint had got it). Tried and dropped: one in ten for all requests.

--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/courier"
+	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/proxier"
 	"heatherhold.dev/router/publisher"
 )
@@ -38,7 +39,11 @@
 	OnRefusal func(classifier.Kind)
 	Log       logrus.FieldLogger
 
-	active activeRequests
+	active    activeRequests
+	durations durations
+	// end is when a planned stop ends the requests that are still being served; nil if none has
+	// begun.
+	end    atomic.Pointer[time.Time]
 	closed atomic.Bool
 }
 
@@ -68,6 +73,12 @@
 	})
 }
 
+// Stop makes x refuse, from now on, the requests that would usually last beyond end, when a planned
+// stop ends them.
+func (x *Receiver) Stop(end time.Time) {
+	x.end.Store(&end)
+}
+
 // Close makes x refuse all further requests, because there may not be enough time
 // left to finish them. Requests that are being served continue.
 func (x *Receiver) Close() {
@@ -159,12 +170,43 @@
 	if err != nil {
 		return false, err
 	}
+	if err := x.checkTimeLeft(&job); err != nil {
+		return false, err
+	}
 	x.active.setJob(active, &job)
 	setBodyDeadline(w, r, job.Deadline)
 	if request.Body, err = readBodyUntil(ctx, w, r, v.Site.Limits.BodyBytes); err != nil {
 		return false, err
 	}
-	return x.Proxier.Serve(ctx, w, job)
+	responseStarted, err := x.Proxier.Serve(ctx, w, job)
+	if err == nil && request.LastEvent == 0 {
+		x.durations.record(&job, time.Since(request.Received), x.declared)
+	}
+	return responseStarted, err
+}
+
+// declared reports whether the configuration in force has the service.
+func (x *Receiver) declared(s identifier.Service) bool {
+	site := x.Publisher.View().Site
+	if site == nil {
+		return true
+	}
+	_, ok := site.Services[s]
+	return ok
+}
+
+// checkTimeLeft returns an error if a planned stop has begun that usually leaves too little time for
+// the job. A job whose own deadline comes first loses nothing by the stop.
+func (x *Receiver) checkTimeLeft(job *proxier.Job) error {
+	end := x.end.Load()
+	if end == nil || !job.Deadline.After(*end) {
+		return nil
+	}
+	usual, ok := x.durations.usual(job)
+	if left := time.Until(*end); ok && usual > left {
+		return proxier.NewStoppingError(errors.Errorf("usual duration %v, time left %v", usual, left))
+	}
+	return nil
 }
 
 // newJob returns the job for a request, with what v declares for it.
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -281,6 +281,7 @@
 	noticeEnd := began.Add(p.Settings.Stop.Notice.Std())
 	ctx, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std()-stopMargin)
 	defer cancel()
+	p.Receiver.Stop(began.Add(p.Settings.Stop.Finish.Std() - stopMargin))
 	p.Log.WithField("requests", p.Receiver.Active()).Info("stopping: not ready for new work")
 	if err := p.Controller.Leave(ctx); err != nil {
 		p.Log.WithError(err).Warn("peers not told of the stop")
--- a/router/storestop_test.go
+++ b/router/storestop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -88,3 +89,57 @@
 	}
 	s.awaitExit(t, began, finish)
 }
+
+// TestLongRequestTakenDuringPlannedStop guards against requests that are passed on although the
+// planned stop leaves less time than requests of their service usually take. The service answers
+// after two seconds, or at once if the path asks for it.
+func TestLongRequestTakenDuringPlannedStop(t *testing.T) {
+	const (
+		notice = time.Second
+		finish = 3 * time.Second
+	)
+	var late atomic.Int64
+	s := newStoreSystem(t, notice, finish, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/late") {
+			late.Add(1)
+		}
+		time.Sleep(2 * time.Second)
+		fmt.Fprint(w, "done")
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: a\n\n")
+	})
+	const long = "X-Deadline-Ms: 25000"
+	const model = "X-Token-Count: 10,5"
+	var earlier []<-chan answer
+	for i := range 12 {
+		earlier = append(earlier, s.send(t, header("POST", fmt.Sprintf("/once/%d", i), long)))
+	}
+	for i := range 12 {
+		if got := <-s.send(t, header("POST", fmt.Sprintf("/draft/%d", i), long, "X-Model: x", model)); got.status != http.StatusOK || got.err != nil {
+			t.Fatalf("stream before the stop: got %+v, want 200", got)
+		}
+	}
+	for _, answers := range earlier {
+		if got := <-answers; got.status != http.StatusOK || got.err != nil {
+			t.Fatalf("request before the stop: got %+v, want 200", got)
+		}
+	}
+	began := time.Now()
+	s.signal(t, syscall.SIGTERM)
+	time.Sleep(notice * 3 / 4)
+	sent := time.Now()
+	if got := <-s.send(t, header("POST", "/once/late", long)); got.status != http.StatusServiceUnavailable || got.retryAfter == "" || !got.close || got.at.Sub(sent) > notice {
+		t.Errorf("long request: got %+v, want 503 at once, with Retry-After and Connection: close", got)
+	}
+	if got := <-s.send(t, header("POST", "/draft/late", long, "X-Model: x", model)); got.status != http.StatusOK || got.err != nil {
+		t.Errorf("short stream: got %+v, want it to be served", got)
+	}
+	if got := <-s.send(t, header("POST", "/once/own", "X-Deadline-Ms: 300")); got.status != http.StatusGatewayTimeout {
+		t.Errorf("request whose own deadline comes first: got %+v, want it to be passed on", got)
+	}
+	s.awaitExit(t, began, finish)
+	if got := late.Load(); got != 0 {
+		t.Errorf("the endpoint got the long request %d times, want 0", got)
+	}
+}
