Answer requests that cross the end of a planned stop's notice

What callers saw: a request of which the router had read a part, or even all, when the notice ended was closed without an answer, on kept connections and on new ones. The log had "request not taken in", reason stopping, with the whole header's bytes. Until a header has been parsed, net/http counts its connection as idle or new; Shutdown closes it, and a header that is parsed later is dropped. Change: the stop closes the listener itself, and limiter.Drain ends the wait for further requests by the read deadline, so that a connection is closed only by the goroutine that would read its request: bytes that were read are served to an answer. A new connection has a second for its first byte. Responses ask to close the connection when their header is written, so that those of requests from before the stop do as well; Shutdown did that before. Test: TestRequestDroppedAfterNotice, all three connections "unexpected EOF" before.

--- a/router/limiter/conn.go
+++ b/router/limiter/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -24,17 +25,23 @@
 )
 
 // conn is a caller's connection. Its fields are used by the connection's own
-// goroutine. While a handler runs, another goroutine waits for the next byte; it uses
-// only readAhead and phase, and phase doesn't change meanwhile.
+// goroutine, those behind mu also by Limiter.Drain. While a handler runs, another goroutine waits
+// for the next byte; it uses only readAhead and phase, and phase doesn't change meanwhile.
 type conn struct {
 	net.Conn
 	limiter *Limiter
 
+	mu    sync.Mutex
 	phase phase
-	// since is when the waiting or reading phase began. headerBytes is the number of
-	// bytes of the header read so far, firstBytes holds the first of them, and readErr
-	// is the error of the last read.
-	since       time.Time
+	// since is when the waiting or reading phase began.
+	since time.Time
+	// kept is set once a request has been served, and draining once the connection is to be closed
+	// before the next one.
+	kept     bool
+	draining bool
+
+	// headerBytes is the number of bytes of the header read so far, firstBytes holds the first of
+	// them, and readErr is the error of the last read.
 	headerBytes int
 	firstBytes  []byte
 	readErr     error
@@ -51,10 +58,10 @@
 func (c *conn) setState(state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		c.phase = parsed
+		c.setPhase(parsed)
 	case http.StateIdle:
-		c.phase = waiting
-		c.since = time.Now()
+		c.kept = true
+		c.setPhase(waiting)
 		c.headerBytes = 0
 		c.firstBytes = c.firstBytes[:0]
 		c.status = ""
@@ -69,6 +76,32 @@
 	}
 }
 
+// setPhase sets the phase, which begins now.
+func (c *conn) setPhase(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = p
+	c.since = time.Now()
+}
+
+// drain makes c close before its next request. It interrupts the wait for that request, but a
+// request whose first byte was read is served.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+	if c.phase == waiting {
+		// If it fails, the connection is closed already.
+		_ = c.SetReadDeadline(c.readDeadlineLocked())
+	}
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.limiter.remove(c)
+	return c.Conn.Close()
+}
+
 // Read reads from the connection and records the bytes of a request header.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.phase == parsed {
@@ -119,10 +152,25 @@
 // readDeadline returns the deadline for a request's first byte while waiting,
 // otherwise for the end of its header.
 func (c *conn) readDeadline() time.Time {
-	if c.phase == waiting {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readDeadlineLocked()
+}
+
+// firstRequestTime is how long a new connection whose caller has not sent anything yet stays open
+// while connections are drained.
+const firstRequestTime = time.Second
+
+func (c *conn) readDeadlineLocked() time.Time {
+	switch {
+	case c.phase != waiting:
+		return c.since.Add(c.limiter.headerTimeout())
+	case !c.draining:
 		return c.since.Add(c.limiter.idleTimeout())
+	case c.kept:
+		return c.since
 	}
-	return c.since.Add(c.limiter.headerTimeout())
+	return c.since.Add(min(firstRequestTime, c.limiter.idleTimeout()))
 }
 
 func timedOut(err error) bool {
@@ -138,8 +186,7 @@
 		return
 	}
 	if c.phase == waiting {
-		c.phase = reading
-		c.since = time.Now()
+		c.setPhase(reading)
 	}
 	c.headerBytes += len(p)
 	c.firstBytes = append(c.firstBytes, p[:min(len(p), maxLogLineBytes-len(c.firstBytes))]...)
--- a/router/limiter/limiter.go
+++ b/router/limiter/limiter.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,11 +40,62 @@
 	IdleTimeout   time.Duration
 
 	logLimiter *rate.Limiter
+
+	mu sync.Mutex
+	// open is the set of open connections.
+	open map[*conn]bool
 }
 
 // New returns a Limiter whose exported fields are not set.
 func New() *Limiter {
-	return &Limiter{logLimiter: rate.NewLimiter(logRate, logBurst)}
+	return &Limiter{
+		logLimiter: rate.NewLimiter(logRate, logBurst),
+		open:       make(map[*conn]bool),
+	}
+}
+
+func (x *Limiter) add(c *conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.open[c] = true
+}
+
+func (x *Limiter) remove(c *conn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.open, c)
+}
+
+// conns returns the open connections.
+func (x *Limiter) conns() []*conn {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.Collect(maps.Keys(x.open))
+}
+
+// drainInterval is how often Drain checks the connections.
+const drainInterval = 10 * time.Millisecond
+
+// Drain closes each connection before its next request, and returns once none is open or ctx has
+// ended. The listener must be closed. Unlike http.Server.Shutdown, which must not be called before,
+// it leaves a connection open on which a part of a request was read.
+func (x *Limiter) Drain(ctx context.Context) error {
+	t := time.NewTicker(drainInterval)
+	defer t.Stop()
+	for {
+		open := x.conns()
+		if len(open) == 0 {
+			return nil
+		}
+		for _, c := range open {
+			c.drain()
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
 }
 
 // connKey is the key of the connection in a request's context.
@@ -87,11 +141,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{
+	out := &conn{
 		Conn:    c,
 		limiter: l.limiter,
 		since:   time.Now(),
-	}, nil
+	}
+	l.limiter.add(out)
+	return out, nil
 }
 
 // headerTimeout returns the longest time from a header's first byte to its last.
--- a/router/receiver/body.go
+++ b/router/receiver/body.go
@@ -38,13 +38,22 @@
 	return data, err
 }
 
+// unwrap returns the writer of net/http itself: only that one closes the connection after a body that
+// exceeds the limit of MaxBytesReader.
+func unwrap(w http.ResponseWriter) http.ResponseWriter {
+	if u, ok := w.(interface{ Unwrap() http.ResponseWriter }); ok {
+		return u.Unwrap()
+	}
+	return w
+}
+
 // readBody reads a request body of at most limit bytes; 0 means no limit.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		r.Body = http.MaxBytesReader(unwrap(w), r.Body, limit)
 	}
 	data, err := io.ReadAll(r.Body)
 	var tooLarge *http.MaxBytesError
--- a/router/receiver/body_test.go
+++ b/router/receiver/body_test.go
@@ -65,6 +65,9 @@
 			if want := `"kind":"` + c.kind + `"`; !strings.Contains(logOutput.String(), want) {
 				t.Errorf("got log %s, want %s in it", logOutput, want)
 			}
+			if c.status == http.StatusRequestEntityTooLarge && !res.Close {
+				t.Error("got a kept connection after a body that is too large, want Connection: close")
+			}
 		})
 	}
 }
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -95,8 +95,9 @@
 
 // ServeHTTP serves one request.
 func (x *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if x.Publisher.Stopping() {
-		w.Header().Set("Connection", "close")
+	w = &closingWriter{
+		ResponseWriter: w,
+		publisher:      x.Publisher,
 	}
 	v := x.Publisher.View()
 	request, err := x.Codec.DecodeRequest(r)
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
@@ -80,7 +82,8 @@
 	params storeDaemonParams
 	group  *errgroup.Group
 	cancel context.CancelFunc
-	caller *http.Server
+	// callers accepts the callers' connections.
+	callers net.Listener
 
 	mu sync.Mutex
 	// running counts the running goroutines of each component.
@@ -150,15 +153,14 @@
 		cancel()
 		return err
 	}
-	callers, err := listenHTTP(ctx, p.Settings.Listen.Caller, "", "")
+	s.callers, err = listenHTTP(ctx, p.Settings.Listen.Caller, "", "")
 	if err != nil {
 		cancel()
 		return err
 	}
-	s.caller = p.Limiter.Server(p.Receiver)
 	s.spawn("callers", func() error {
 		s.awaitConfiguration(ctx)
-		return serveHTTP(ctx, s.caller, p.Limiter.Listen(callers))
+		return s.serveCallers(ctx)
 	})
 	servers := map[string]*http.Server{
 		p.Settings.Listen.Ready:    newHTTPServer(p.Settings, http.HandlerFunc(p.Receiver.Ready), nil),
@@ -187,6 +189,18 @@
 	return nil
 }
 
+// serveCallers serves callers until ctx ends. A planned stop closes the listener before, and the
+// open connections are still served.
+func (s *storeDaemon) serveCallers(ctx context.Context) error {
+	server := s.params.Limiter.Server(s.params.Receiver)
+	err := serveHTTP(ctx, server, s.params.Limiter.Listen(s.callers))
+	if !errors.Is(err, net.ErrClosed) || !s.params.Publisher.Stopping() {
+		return err
+	}
+	<-ctx.Done()
+	return server.Close()
+}
+
 const (
 	// startWait bounds how long a starting instance lets callers wait until it has
 	// a configuration. After that it refuses them until it has one.
@@ -288,7 +302,10 @@
 	}
 	time.Sleep(time.Until(noticeEnd))
 	p.Receiver.Close()
-	if err := s.caller.Shutdown(ctx); err != nil {
+	if err := s.callers.Close(); err != nil {
+		p.Log.WithError(err).Warn("listener not closed")
+	}
+	if err := p.Limiter.Drain(ctx); err != nil {
 		s.endRequests(context.WithoutCancel(ctx), began)
 	}
 	s.depart(context.WithoutCancel(ctx))
@@ -306,7 +323,7 @@
 	p.Receiver.EndActive(began)
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	if err := s.caller.Shutdown(ctx); err != nil && p.Receiver.Active() > 0 {
+	if err := p.Limiter.Drain(ctx); err != nil && p.Receiver.Active() > 0 {
 		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
 	}
 }
--- a/router/storestop_test.go
+++ b/router/storestop_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -143,3 +144,60 @@
 		t.Errorf("the endpoint got the long request %d times, want 0", got)
 	}
 }
+
+// TestRequestDroppedAfterNotice guards against connections that are closed without an answer although
+// the router reads the request: its last bytes arrive once the notice of a planned stop is over.
+func TestRequestDroppedAfterNotice(t *testing.T) {
+	const (
+		notice = time.Second
+		finish = 4 * time.Second
+	)
+	s := newStoreSystem(t, notice, finish, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			time.Sleep(2 * time.Second)
+		}
+		fmt.Fprint(w, "done")
+	}, hold)
+	request := header("POST", "/once/late", "X-Deadline-Ms: 25000")
+	half := len(request) / 2
+	kept := s.dial(t)
+	io.WriteString(kept, header("POST", "/once/first", "X-Deadline-Ms: 25000"))
+	if got := readAnswer(kept); got.status != http.StatusOK || got.close {
+		t.Fatalf("got %+v, want 200 on a kept connection", got)
+	}
+	idle := s.dial(t)
+	io.WriteString(idle, header("POST", "/once/second", "X-Deadline-Ms: 25000"))
+	if got := readAnswer(idle); got.status != http.StatusOK || got.close {
+		t.Fatalf("got %+v, want 200 on a kept connection", got)
+	}
+	slow := s.send(t, header("POST", "/once/slow", "X-Deadline-Ms: 25000"))
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	s.signal(t, syscall.SIGTERM)
+	time.Sleep(notice - 200*time.Millisecond)
+	fresh := s.dial(t)
+	started := s.dial(t)
+	io.WriteString(kept, request[:half])
+	io.WriteString(started, request[:half])
+	time.Sleep(400 * time.Millisecond)
+	io.WriteString(kept, request[half:])
+	io.WriteString(started, request[half:])
+	io.WriteString(fresh, request)
+	for name, answers := range map[string]<-chan answer{
+		"header begun on a kept connection": s.await(kept),
+		"header begun on a new connection":  s.await(started),
+		"new connection without a byte":     s.await(fresh),
+	} {
+		got := <-answers
+		if got.err != nil || got.status != http.StatusServiceUnavailable || !got.close {
+			t.Errorf("%s: got status %d, close %v, error %v; want 503 with Connection: close", name, got.status, got.close, got.err)
+		}
+	}
+	if got := <-s.await(idle); !errors.Is(got.err, io.ErrUnexpectedEOF) || got.at.Sub(began) > 2*notice {
+		t.Errorf("idle connection: got error %v after %v, want it closed soon after the notice", got.err, got.at.Sub(began))
+	}
+	if got := <-slow; got.status != http.StatusOK || got.err != nil || !got.close {
+		t.Errorf("request from before the stop: got %+v, want 200 with Connection: close", got)
+	}
+	s.awaitExit(t, began, finish)
+}
