Don't end requests without a body by the timeout for bodies

What callers saw (the project's own interface): a GET that a plain service takes longer than caller.body-timeout (30 s) to answer ended with 499, "the caller disconnected", though the caller was connected and the service at work. Cause: the read deadline was set for requests without a body, too. net/http waits for the next request already then, and its failed read cancels the request's context; only the end of a body clears the deadline. Change: the deadline is set for requests with a body only. Test: TestBodyTimeoutCutsSlowService, 499 before for the request without a body; those with one were right.

--- a/router/server/server.go
+++ b/router/server/server.go
@@ -109,8 +109,11 @@
 		ctx, span := s.Reporter.StartRequest(r, x.id)
 		x.log = s.Log.WithField("request", x.id).WithField("trace", span.TraceID())
 		w.Header().Set("Heatherhold-Request", string(x.id))
-		// A writer without a connection doesn't support deadlines and needs none.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.BodyTimeout))
+		if r.ContentLength != 0 {
+			// At the end of the body net/http clears the deadline. A writer without a connection
+			// doesn't support deadlines and needs none.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.BodyTimeout))
+		}
 		r.Body = http.MaxBytesReader(w, r.Body, s.BodyLimit)
 		err := s.authenticate(r, x)
 		if err == nil {
