Answer requests that a planned stop ends on the project's own interface

What callers saw: a request that outlasted a planned stop ended with a closed connection there, too (the same cause as on the users' platform); a call that may not be repeated went on without its caller until the process ended. Change: at the end the requests' contexts are cancelled with ErrStopping, which moves to core/classifier with its two errors. What did not start gets 503, what may have run 504, a call that was sent and may not be repeated 502, its claim kept; a stream that has begun gets an error event and breaks off. A call that may not be repeated still goes on without its caller, but not beyond the stop, and its claim can still be freed if nothing was sent. Open: requests that cross the end of the notice are still dropped by http.Server.Shutdown on this interface.

--- a/router/forwarder/forwarder.go
+++ b/router/forwarder/forwarder.go
@@ -143,13 +143,15 @@
 		return stored, err
 	}
 	// From here on the call continues even if the caller disconnects, because the
-	// response must be stored.
+	// response must be stored; only a planned stop ends it.
+	sendCtx, cancelSend := withoutCaller(ctx)
+	defer cancelSend()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.AttemptTimeout+storeTimeout)
 	defer cancel()
 	if err := c.Allowed(); err != nil {
 		return nil, f.releaseClaim(ctx, claim, err)
 	}
-	response, err := f.sendToFirstReachable(ctx, c)
+	response, err := f.sendToFirstReachable(sendCtx, c)
 	switch {
 	case err == nil:
 		f.storeResponse(ctx, claim, response)
@@ -160,6 +162,21 @@
 	return nil, classifier.Wrap(classifier.OutcomeUnknown, err, "the call was sent but no complete response was received; it is not sent again")
 }
 
+// withoutCaller returns a copy of ctx that does not end when the caller disconnects, but when a planned
+// stop ends the request.
+func withoutCaller(ctx context.Context) (context.Context, context.CancelFunc) {
+	out, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), classifier.ErrStopping) {
+			cancel()
+		}
+	})
+	return out, func() {
+		stop()
+		cancel()
+	}
+}
+
 // errNoEndpoint reports that the service has no endpoint. It is a dial error, so
 // that isDialError counts the call as not sent.
 var errNoEndpoint = &net.OpError{
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -141,12 +141,12 @@
 // finalError returns the error for a request that is abandoned. If ran is set,
 // the error does not claim that the request did not run.
 func finalError(ctx context.Context, ran bool, err error) error {
-	stopping := errors.Is(context.Cause(ctx), ErrStopping)
+	stopping := errors.Is(context.Cause(ctx), classifier.ErrStopping)
 	switch {
 	case stopping && ran:
-		return classifier.Wrap(classifier.TimedOut, err, "the instance stopped before the request was completed")
+		return classifier.NewStopped(err)
 	case stopping:
-		return NewStoppingError(err)
+		return classifier.NewStopping(err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return classifier.Wrap(classifier.Cancelled, err, "the caller disconnected")
 	case ran && ctx.Err() != nil:
--- a/router/receiver/body.go
+++ b/router/receiver/body.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 
 	"heatherhold.dev/core/classifier"
-	"heatherhold.dev/router/proxier"
 )
 
 // setBodyDeadline sets the read deadline for the request body. Refused requests
@@ -32,8 +31,8 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	})
 	data, err := readBody(w, r, limit)
-	if !stop() && errors.Is(context.Cause(ctx), proxier.ErrStopping) {
-		return nil, proxier.NewStoppingError(err)
+	if !stop() && errors.Is(context.Cause(ctx), classifier.ErrStopping) {
+		return nil, classifier.NewStopping(err)
 	}
 	return data, err
 }
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -56,7 +56,7 @@
 // began at stopBegan. Its caller gets an error response, unless a part of a response was sent.
 func (x *Receiver) EndActive(stopBegan time.Time) {
 	x.active.each(func(r *activeRequest) {
-		r.cancel(proxier.ErrStopping)
+		r.cancel(classifier.ErrStopping)
 		log := x.Log.WithFields(logrus.Fields{
 			"request":       r.request.ID,
 			"held-ms":       time.Since(r.request.Received).Milliseconds(),
@@ -115,7 +115,7 @@
 		return
 	}
 	if x.closed.Load() {
-		x.refuse(w, v, request, proxier.NewStoppingError(nil))
+		x.refuse(w, v, request, classifier.NewStopping(nil))
 		return
 	}
 	responseStarted, err := x.serve(ctx, w, r, v, active)
@@ -139,7 +139,7 @@
 // the context although the caller is still connected: a body missed its deadline, or a planned
 // stop has ended the request.
 func readEnded(ctx context.Context, err error) bool {
-	return classifier.Classify(err).Kind == classifier.TooSlow || errors.Is(context.Cause(ctx), proxier.ErrStopping)
+	return classifier.Classify(err).Kind == classifier.TooSlow || errors.Is(context.Cause(ctx), classifier.ErrStopping)
 }
 
 // log returns a log entry for a request that ended with err; v is the view that
@@ -205,7 +205,7 @@
 	}
 	usual, ok := x.durations.usual(job)
 	if left := time.Until(*end); ok && usual > left {
-		return proxier.NewStoppingError(errors.Errorf("usual duration %v, time left %v", usual, left))
+		return classifier.NewStopping(errors.Errorf("usual duration %v, time left %v", usual, left))
 	}
 	return nil
 }
--- a/router/run.go
+++ b/router/run.go
@@ -235,8 +235,7 @@
 	return p.sharer.Handle(ctx, r), nil
 }
 
-// stop performs a planned stop. It cuts off no request that finishes within
-// Stop.Finish.
+// stop performs a planned stop. It ends no request that finishes within Stop.Finish.
 func (d *daemon) stop(ctx context.Context) error {
 	p := d.params
 	p.Log.Info("stopping: not ready for new work")
@@ -247,7 +246,7 @@
 	finishCtx, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std())
 	defer cancel()
 	if err := d.caller.Shutdown(finishCtx); err != nil {
-		p.Log.WithError(err).WithField("requests", p.Server.Active()).Error("requests cut off at the end of the time to finish")
+		d.endRequests(ctx)
 	}
 	departCtx, cancel := context.WithTimeout(ctx, departTimeout)
 	defer cancel()
@@ -259,3 +258,16 @@
 	p.Log.Info("stopped")
 	return err
 }
+
+// endRequests ends the requests in flight, and waits for at most answerTime until their callers have
+// been answered.
+func (d *daemon) endRequests(ctx context.Context) {
+	p := d.params
+	p.Log.WithField("requests", p.Server.Active()).Warn("requests ended at the end of the time to finish")
+	p.Server.EndActive()
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	if err := d.caller.Shutdown(ctx); err != nil && p.Server.Active() > 0 {
+		p.Log.WithError(err).WithField("requests", p.Server.Active()).Error("requests cut off at the end of the time to finish")
+	}
+}
--- a/router/server/model.go
+++ b/router/server/model.go
@@ -56,7 +56,7 @@
 
 func (s *Server) completions(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
 	var c completionRequest
-	if err := decode(r, &c); err != nil {
+	if err := decode(ctx, r, &c); err != nil {
 		return err
 	}
 	return s.generate(ctx, w, r, x, generation{
@@ -71,7 +71,7 @@
 
 func (s *Server) chat(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
 	var c chatRequest
-	if err := decode(r, &c); err != nil {
+	if err := decode(ctx, r, &c); err != nil {
 		return err
 	}
 	if len(c.Messages) == 0 {
@@ -111,8 +111,8 @@
 
 // decode decodes a JSON body into v. Unknown keys are ignored, because clients of
 // this format send many of them.
-func decode(r *http.Request, v any) error {
-	data, err := readBody(r)
+func decode(ctx context.Context, r *http.Request, v any) error {
+	data, err := readBody(ctx, r)
 	if err != nil {
 		return err
 	}
@@ -122,13 +122,15 @@
 	return nil
 }
 
-func readBody(r *http.Request) ([]byte, error) {
+func readBody(ctx context.Context, r *http.Request) ([]byte, error) {
 	data, err := io.ReadAll(r.Body)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, classifier.New(classifier.TooLarge, "the request body is larger than the limit")
-	}
-	if err != nil {
+	case err != nil && errors.Is(context.Cause(ctx), classifier.ErrStopping):
+		return nil, classifier.NewStopping(err)
+	case err != nil:
 		return nil, classifier.Wrap(classifier.BadRequest, err, "the request body could not be read")
 	}
 	return data, nil
--- a/router/server/server.go
+++ b/router/server/server.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/classifier"
@@ -36,7 +36,7 @@
 	// streamed response.
 	WriteTimeout time.Duration
 
-	active atomic.Int64
+	active activeRequests
 }
 
 // Handler returns the handler of all paths.
@@ -56,8 +56,14 @@
 }
 
 // Active returns the number of requests being served.
-func (s *Server) Active() int64 {
-	return s.active.Load()
+func (s *Server) Active() int {
+	return s.active.len()
+}
+
+// EndActive ends the requests that are being served, at the end of a planned stop. Their callers get
+// error responses, unless a part of a response was sent.
+func (s *Server) EndActive() {
+	s.active.cancel(classifier.ErrStopping)
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
@@ -103,10 +109,12 @@
 // error responses.
 func (s *Server) serve(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.active.Add(1)
-		defer s.active.Add(-1)
 		x := &exchange{id: identifier.Request(uuid.NewString())}
 		ctx, span := s.Reporter.StartRequest(r, x.id)
+		ctx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		s.active.add(x, cancel)
+		defer s.active.remove(x)
 		x.log = s.Log.WithField("request", x.id).WithField("trace", span.TraceID())
 		w.Header().Set("Heatherhold-Request", string(x.id))
 		if r.ContentLength != 0 {
@@ -114,16 +122,28 @@
 			// doesn't support deadlines and needs none.
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.BodyTimeout))
 		}
+		stopReading := context.AfterFunc(ctx, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+		defer stopReading()
 		r.Body = http.MaxBytesReader(w, r.Body, s.BodyLimit)
 		err := s.authenticate(r, x)
 		if err == nil {
 			err = h(ctx, w, r, x)
 		}
+		err = stoppingError(ctx, err)
 		span.End(err)
 		s.finish(w, x, err)
 	}
 }
 
+// stoppingError returns the error for a request that ended with err. A planned stop that ends a
+// request looks like a caller that disconnects.
+func stoppingError(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), classifier.ErrStopping) && classifier.Classify(err).Kind == classifier.Cancelled {
+		return classifier.NewStopped(err)
+	}
+	return err
+}
+
 // authenticate identifies the caller, and fails if the configuration is not
 // confirmed.
 func (s *Server) authenticate(r *http.Request, x *exchange) error {
--- a/router/server/server_test.go
+++ b/router/server/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -209,3 +210,51 @@
 		}
 	}
 }
+
+// TestRequestCutAtEndOfPlannedStop guards against connections that are closed without an answer at
+// the end of a planned stop, and against a refusal of a call that may have run.
+func TestRequestCutAtEndOfPlannedStop(t *testing.T) {
+	var calls atomic.Int64
+	s, address := newServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		// net/http notices that the caller has gone only once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		calls.Add(1)
+		<-r.Context().Done()
+	})
+	requests := map[string]struct {
+		text   string
+		status int
+	}{
+		"may be repeated": {
+			text:   "GET /services/orders/a HTTP/1.1\r\n\r\n",
+			status: http.StatusGatewayTimeout,
+		},
+		"may not be repeated": {
+			text:   "POST /services/orders/a HTTP/1.1\r\nIdempotency-Key: x\r\nContent-Length: 2\r\n\r\nab",
+			status: http.StatusBadGateway,
+		},
+		"waits for a chain": {
+			text:   "POST /v1/completions HTTP/1.1\r\nContent-Length: 32\r\n\r\n" + `{"model":"drafts","prompt":"ab"}`,
+			status: http.StatusServiceUnavailable,
+		},
+		"unread body": {
+			text:   "POST /v1/completions HTTP/1.1\r\nContent-Length: 32\r\n\r\n{",
+			status: http.StatusServiceUnavailable,
+		},
+	}
+	answers := make(map[string]<-chan answer)
+	for name, request := range requests {
+		answers[name] = send(t, address, request.text)
+	}
+	for end := time.Now().Add(testTimeout); s.Active() < len(requests) || calls.Load() < 2; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got %d requests, %d calls; want %d and 2", s.Active(), calls.Load(), len(requests))
+		}
+	}
+	s.EndActive()
+	for name, request := range requests {
+		if got := <-answers[name]; got.err != nil || got.status != request.status {
+			t.Errorf("%s: got %+v, want a complete answer with %d", name, got, request.status)
+		}
+	}
+}
--- a/router/streamer/streamer.go
+++ b/router/streamer/streamer.go
@@ -140,6 +140,8 @@
 func (r *run) terminalError(ctx context.Context, err error) error {
 	var classified *classifier.Error
 	switch {
+	case errors.Is(context.Cause(ctx), classifier.ErrStopping) && !r.started:
+		return classifier.NewStopping(err)
 	case ctx.Err() != nil || errors.Is(err, errSink):
 		return classifier.Wrap(classifier.Cancelled, err, "the caller disconnected")
 	case errors.Is(err, errRevoked):
