Answer 500 if a handler panics

What callers saw: a request whose handler panics ended with a closed connection; the log had net/http's text on the standard error alone, without a line that names the path. Cause: net/http recovers the panic and closes the connection. No such panic is known; the table of ways in which a connection can end without an answer had this one open. Change: the receiver recovers it, logs it with its stack and answers 500, unless a part of an answer has been sent.

--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -95,10 +96,37 @@
 
 // ServeHTTP serves one request.
 func (x *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w = &closingWriter{
+	out := &closingWriter{
 		ResponseWriter: w,
 		publisher:      x.Publisher,
 	}
+	defer x.answerPanic(out, r)
+	x.serveRequest(out, r)
+}
+
+// answerPanic sends an error response after a panic of a handler, unless a part of a response was
+// sent. A panic with http.ErrAbortHandler continues.
+func (x *Receiver) answerPanic(w *closingWriter, r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler { //nolint:errorlint // It is the value itself that net/http knows.
+		panic(cause)
+	}
+	x.Log.WithFields(logrus.Fields{
+		"path":  r.URL.Path,
+		"cause": cause,
+		"stack": string(debug.Stack()),
+	}).Error("handler panicked")
+	if w.started {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	classifier.Write(w, classifier.New(classifier.Internal, "internal error"))
+}
+
+func (x *Receiver) serveRequest(w http.ResponseWriter, r *http.Request) {
 	v := x.Publisher.View()
 	request, err := x.Codec.DecodeRequest(r)
 	ctx, cancel := context.WithCancelCause(r.Context())
--- a/router/receiver/writer.go
+++ b/router/receiver/writer.go
@@ -11,10 +11,13 @@
 type closingWriter struct {
 	http.ResponseWriter
 	publisher *publisher.Publisher
+	// started is set once a part of a response was sent.
+	started bool
 }
 
 // WriteHeader writes the header of the response.
 func (w *closingWriter) WriteHeader(status int) {
+	w.started = true
 	if w.publisher.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
