--- a/router/storeharness_test.go
+++ b/router/storeharness_test.go
@@ -165,9 +165,13 @@
 	at time.Time
 }
 
-// readAnswer reads the answer to one request from c.
+// readAnswer reads the answer to one request from c, after any interim answers.
 func readAnswer(c net.Conn) answer {
-	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	responses := bufio.NewReader(c)
+	res, err := http.ReadResponse(responses, nil)
+	for err == nil && res.StatusCode == http.StatusContinue {
+		res, err = http.ReadResponse(responses, nil)
+	}
 	if err != nil {
 		return answer{
 			err: err,
--- a/router/storestop_test.go
+++ b/router/storestop_test.go
@@ -57,11 +57,14 @@
 		"HTTP/1.0, sent before the stop":      s.send(t, strings.Replace(header("GET", "/again/2", long), "HTTP/1.1", "HTTP/1.0", 1)),
 		"HTTP/1.0 kept, sent before the stop": s.send(t, strings.Replace(header("GET", "/again/3", long, "Connection: keep-alive"), "HTTP/1.1", "HTTP/1.0", 1)),
 	}
+	before["followed by a second request"] = s.send(t, header("POST", "/once/4", long)+strings.Repeat(header("POST", "/once/5", long), 20))
 	stream := s.send(t, header("POST", "/draft/1", long, "X-Model: x", "X-Token-Count: 10,5"))
 	time.Sleep(300 * time.Millisecond)
 	waiting := s.send(t, header("POST", "/draft/2", long, "X-Model: x", "X-Token-Count: 10,5"))
 	body := s.dial(t)
 	io.WriteString(body, header("POST", "/once/2", long, "Content-Length: 10")+"half")
+	expected := s.dial(t)
+	io.WriteString(expected, header("POST", "/once/6", long, "Content-Length: 10", "Expect: 100-continue"))
 	time.Sleep(300 * time.Millisecond)
 	began := time.Now()
 	s.signal(t, syscall.SIGTERM)
@@ -75,6 +78,7 @@
 	for name, answers := range map[string]<-chan answer{
 		"waits for a chain": waiting,
 		"unread body":       s.await(body),
+		"expects 100":       s.await(expected),
 	} {
 		got := <-answers
 		if want := http.StatusServiceUnavailable; got.err != nil || got.status != want || got.retryAfter == "" {
