Answer streams that break off before their first event

What callers saw: a stream whose endpoint had sent its header and no event ended with a closed connection and no byte, at the end of a planned stop, at its deadline, or when its endpoint broke off and nobody could go on. Cause: the header counted as sent as soon as it was handed to net/http, which holds it back until the first flush; so the handler aborted the connection although nothing had been sent. Change: the receiver's writer holds the header back until the first byte of the body and knows whether it was sent. An answer that was not replaces it, without the endpoint's header fields: 504 or 502.

--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -96,17 +96,18 @@
 
 // ServeHTTP serves one request.
 func (x *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	out := &closingWriter{
+	out := &heldWriter{
 		ResponseWriter: w,
 		publisher:      x.Publisher,
 	}
 	defer x.answerPanic(out, r)
 	x.serveRequest(out, r)
+	out.sendHeader()
 }
 
 // answerPanic sends an error response after a panic of a handler, unless a part of a response was
 // sent. A panic with http.ErrAbortHandler continues.
-func (x *Receiver) answerPanic(w *closingWriter, r *http.Request) {
+func (x *Receiver) answerPanic(w *heldWriter, r *http.Request) {
 	cause := recover()
 	if cause == nil {
 		return
@@ -119,14 +120,15 @@
 		"cause": cause,
 		"stack": string(debug.Stack()),
 	}).Error("handler panicked")
-	if w.started {
+	if w.sent {
 		panic(http.ErrAbortHandler)
 	}
+	w.reset()
 	w.Header().Set("Connection", "close")
 	classifier.Write(w, classifier.New(classifier.Internal, "internal error"))
 }
 
-func (x *Receiver) serveRequest(w http.ResponseWriter, r *http.Request) {
+func (x *Receiver) serveRequest(w *heldWriter, r *http.Request) {
 	v := x.Publisher.View()
 	request, err := x.Codec.DecodeRequest(r)
 	ctx, cancel := context.WithCancelCause(r.Context())
@@ -146,7 +148,7 @@
 		x.refuse(w, v, request, classifier.NewStopping(nil))
 		return
 	}
-	responseStarted, err := x.serve(ctx, w, r, v, active)
+	err = x.serve(ctx, w, r, v, active)
 	if err == nil {
 		return
 	}
@@ -154,12 +156,13 @@
 		x.log(v, request, err).Info("caller went away")
 		panic(http.ErrAbortHandler)
 	}
-	if responseStarted {
+	if w.sent {
 		// A part of the response was sent: only aborting the connection shows the
 		// caller that the response is incomplete.
 		x.log(v, request, err).Warn("answer broken off")
 		panic(http.ErrAbortHandler)
 	}
+	w.reset()
 	x.refuse(w, v, request, err)
 }
 
@@ -183,35 +186,37 @@
 	})
 }
 
-func (x *Receiver) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, v *publisher.View, active *activeRequest) (bool, error) {
+func (x *Receiver) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, v *publisher.View, active *activeRequest) error {
 	request := active.request
 	if v.Site == nil || !x.Publisher.Confirmed(time.Now()) {
-		return false, &classifier.Error{
+		return &classifier.Error{
 			Kind:       classifier.StaleConfiguration,
 			Detail:     "the instance has no configuration that is confirmed to be current",
 			RetryAfter: staleRetryAfter,
 		}
 	}
 	if err := checkHeaderSize(r, v.Site.Limits.HeaderBytes); err != nil {
-		return false, err
+		return err
 	}
 	job, err := x.newJob(v, r, request)
 	if err != nil {
-		return false, err
+		return err
 	}
 	if err := x.checkTimeLeft(&job); err != nil {
-		return false, err
+		return err
 	}
 	x.active.setJob(active, &job)
 	setBodyDeadline(w, r, job.Deadline)
 	if request.Body, err = readBodyUntil(ctx, w, r, v.Site.Limits.BodyBytes); err != nil {
-		return false, err
+		return err
 	}
-	responseStarted, err := x.Proxier.Serve(ctx, w, job)
-	if err == nil && request.LastEvent == 0 {
+	if _, err := x.Proxier.Serve(ctx, w, job); err != nil {
+		return err
+	}
+	if request.LastEvent == 0 {
 		x.durations.record(&job, time.Since(request.Received), x.declared)
 	}
-	return responseStarted, err
+	return nil
 }
 
 // declared reports whether the configuration in force has the service.
--- a/router/storeharness_test.go
+++ b/router/storeharness_test.go
@@ -156,8 +156,9 @@
 type answer struct {
 	status int
 	body   string
-	// retryAfter and close are of the header.
+	// retryAfter, stamp, the endpoint's signature, and close are of the header.
 	retryAfter string
+	stamp      string
 	close      bool
 	// err is set if the answer isn't complete.
 	err error
@@ -184,6 +185,7 @@
 		status:     res.StatusCode,
 		body:       string(body),
 		retryAfter: res.Header.Get("Retry-After"),
+		stamp:      res.Header.Get("X-Server-Stamp"),
 		close:      res.Close,
 		err:        err,
 		at:         time.Now(),
--- a/router/storestop_test.go
+++ b/router/storestop_test.go
@@ -205,3 +205,29 @@
 	}
 	s.awaitExit(t, began, finish)
 }
+
+// TestStreamWithoutEventCutAtEndOfPlannedStop guards against a connection that is closed without an
+// answer because the endpoint has sent the header of a stream and no event.
+func TestStreamWithoutEventCutAtEndOfPlannedStop(t *testing.T) {
+	const (
+		notice = 300 * time.Millisecond
+		finish = 2 * time.Second
+	)
+	arrived := make(chan bool, 1)
+	s := newStoreSystem(t, notice, finish, hold, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return
+		}
+		arrived <- true
+		<-r.Context().Done()
+	})
+	stream := s.send(t, header("POST", "/draft/1", "X-Deadline-Ms: 25000", "X-Model: x", "X-Token-Count: 10,5"))
+	<-arrived
+	began := time.Now()
+	s.signal(t, syscall.SIGTERM)
+	if got, want := <-stream, http.StatusGatewayTimeout; got.err != nil || got.status != want || got.stamp != "" {
+		t.Errorf("got status %d, signature %q, error %v; want a complete answer with %d and no signature", got.status, got.stamp, got.err, want)
+	}
+	s.awaitExit(t, began, finish)
+}
