Apply a route's timeout above 30 s to callers that set none

What callers saw: a request without a timeout of its own on a route with a timeout above 30 s ended after 30 s. Cause: the default for such callers counted like a timeout of theirs, and the shorter of the two applied. Change: the route's timeout replaces the default.

--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -277,11 +277,11 @@
 }
 
 // requestDeadline returns the request's deadline: the time of receipt plus the
-// caller's timeout or, if shorter, the route's.
+// caller's timeout or, if the caller sets none or a longer one, the route's.
 func requestDeadline(r *courier.Request, route *cataloguer.Route) time.Time {
 	timeout := callerTimeout(r)
-	if route.Timeout > 0 {
-		timeout = min(timeout, route.Timeout)
+	if route.Timeout > 0 && (r.Timeout <= 0 || route.Timeout < timeout) {
+		timeout = route.Timeout
 	}
 	return r.Received.Add(timeout)
 }
@@ -295,8 +295,7 @@
 }
 
 const (
-	// defaultTimeout applies if the caller sets no timeout; a shorter timeout of
-	// the route takes precedence.
+	// defaultTimeout applies if the caller sets no timeout; the route's takes precedence.
 	defaultTimeout = 30 * time.Second
 	// staleRetryAfter is the suggested retry delay while the instance waits for
 	// its configuration.
