Answer 408 to bodies that don't arrive in time on the project's own interface

What callers saw: 400 (bad-request) for a proper request whose body was slow. Cause: each failed read of a body counted as a malformed one. Change: a missed deadline is 408 (too-slow), as on the users' platform.

--- a/router/server/model.go
+++ b/router/server/model.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -130,6 +131,8 @@
 		return nil, classifier.New(classifier.TooLarge, "the request body is larger than the limit")
 	case err != nil && errors.Is(context.Cause(ctx), classifier.ErrStopping):
 		return nil, classifier.NewStopping(err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, classifier.New(classifier.TooSlow, "the request body did not arrive in time")
 	case err != nil:
 		return nil, classifier.Wrap(classifier.BadRequest, err, "the request body could not be read")
 	}
--- a/router/server/server_test.go
+++ b/router/server/server_test.go
@@ -258,3 +258,18 @@
 		}
 	}
 }
+
+// TestSlowBodyIsNotBadRequest guards against 400 for a body that does not arrive in time: the request is
+// proper, and its caller may send it again.
+func TestSlowBodyIsNotBadRequest(t *testing.T) {
+	s, address := newServer(t, func(http.ResponseWriter, *http.Request) {})
+	s.BodyTimeout = 100 * time.Millisecond
+	for name, request := range map[string]string{
+		"model": "POST /v1/completions HTTP/1.1\r\nContent-Length: 32\r\n\r\n{",
+		"plain": "GET /services/orders/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\na",
+	} {
+		if got := <-send(t, address, request); got.err != nil || got.status != http.StatusRequestTimeout {
+			t.Errorf("%s: got %+v, want 408", name, got)
+		}
+	}
+}
