Don't forward header fields that Connection names on the project's own interface

What services and callers saw: fields that the sender names as those of its connection alone were passed on. Cause: a fixed list of such fields; the names in Connection were not read. The users' platform reads them. Change: forwardedHeader leaves them out, in requests and in answers.

--- a/router/server/plain.go
+++ b/router/server/plain.go
@@ -88,9 +88,15 @@
 	return nil
 }
 
-// forwardedHeader returns a copy of h without the headers that are not forwarded.
+// forwardedHeader returns a copy of h without the headers that are not forwarded, and without those
+// that h itself says are for its connection alone.
 func forwardedHeader(h http.Header) http.Header {
 	out := h.Clone()
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range droppedHeaders {
 		out.Del(name)
 	}
