--- a/router/receiver/body.go
+++ b/router/receiver/body.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -23,13 +24,35 @@
 	}
 }
 
+// readBodyUntil reads a request body of at most limit bytes, until ctx ends.
+func readBodyUntil(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	stop := context.AfterFunc(ctx, func() {
+		// A writer without a connection doesn't support deadlines and needs none.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	data, err := readBody(w, r, limit)
+	if !stop() && errors.Is(context.Cause(ctx), classifier.ErrStopping) {
+		return nil, classifier.NewStopping(err)
+	}
+	return data, err
+}
+
+// unwrap returns the writer of net/http itself: only that one closes the connection after a body that
+// exceeds the limit of MaxBytesReader.
+func unwrap(w http.ResponseWriter) http.ResponseWriter {
+	if u, ok := w.(interface{ Unwrap() http.ResponseWriter }); ok {
+		return u.Unwrap()
+	}
+	return w
+}
+
 // readBody reads a request body of at most limit bytes; 0 means no limit.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		r.Body = http.MaxBytesReader(unwrap(w), r.Body, limit)
 	}
 	data, err := io.ReadAll(r.Body)
 	var tooLarge *http.MaxBytesError
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/courier"
+	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/proxier"
 	"heatherhold.dev/router/publisher"
 )
@@ -38,13 +40,44 @@
 	OnRefusal func(classifier.Kind)
 	Log       logrus.FieldLogger
 
-	active atomic.Int64
+	active    activeRequests
+	durations durations
+	// end is when a planned stop ends the requests that are still being served; nil if none has
+	// begun.
+	end    atomic.Pointer[time.Time]
 	closed atomic.Bool
 }
 
 // Active returns the number of requests being served.
-func (x *Receiver) Active() int64 {
-	return x.active.Load()
+func (x *Receiver) Active() int {
+	return x.active.len()
+}
+
+// EndActive logs and ends each request that is being served, at the end of a planned stop that
+// began at stopBegan. Its caller gets an error response, unless a part of a response was sent.
+func (x *Receiver) EndActive(stopBegan time.Time) {
+	x.active.each(func(r *activeRequest) {
+		r.cancel(classifier.ErrStopping)
+		log := x.Log.WithFields(logrus.Fields{
+			"request":       r.request.ID,
+			"held-ms":       time.Since(r.request.Received).Milliseconds(),
+			"after-stop-ms": r.request.Received.Sub(stopBegan).Milliseconds(),
+		})
+		if r.job != nil {
+			log = log.WithFields(logrus.Fields{
+				"route":      r.job.Route.Name,
+				"repetition": r.job.Route.Repetition,
+				"left-ms":    time.Until(r.job.Deadline).Milliseconds(),
+			})
+		}
+		log.Warn("request not ended by the end of the time to finish")
+	})
+}
+
+// Stop makes x refuse, from now on, the requests that would usually last beyond end, when a planned
+// stop ends them.
+func (x *Receiver) Stop(end time.Time) {
+	x.end.Store(&end)
 }
 
 // Close makes x refuse all further requests, because there may not be enough time
@@ -63,46 +96,83 @@
 
 // ServeHTTP serves one request.
 func (x *Receiver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x.active.Add(1)
-	defer x.active.Add(-1)
-	if x.Publisher.Stopping() {
-		w.Header().Set("Connection", "close")
+	out := &heldWriter{
+		ResponseWriter: w,
+		publisher:      x.Publisher,
 	}
+	defer x.answerPanic(out, r)
+	x.serveRequest(out, r)
+	out.sendHeader()
+}
+
+// answerPanic sends an error response after a panic of a handler, unless a part of a response was
+// sent. A panic with http.ErrAbortHandler continues.
+func (x *Receiver) answerPanic(w *heldWriter, r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler { //nolint:errorlint // It is the value itself that net/http knows.
+		panic(cause)
+	}
+	x.Log.WithFields(logrus.Fields{
+		"path":  r.URL.Path,
+		"cause": cause,
+		"stack": string(debug.Stack()),
+	}).Error("handler panicked")
+	if w.sent {
+		panic(http.ErrAbortHandler)
+	}
+	w.reset()
+	w.Header().Set("Connection", "close")
+	classifier.Write(w, classifier.New(classifier.Internal, "internal error"))
+}
+
+func (x *Receiver) serveRequest(w *heldWriter, r *http.Request) {
 	v := x.Publisher.View()
 	request, err := x.Codec.DecodeRequest(r)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	active := &activeRequest{
+		request: request,
+		cancel:  cancel,
+	}
+	x.active.add(active)
+	defer x.active.remove(active)
 	setBodyDeadline(w, r, request.Received.Add(callerTimeout(request)))
 	if err != nil {
 		x.refuse(w, v, request, classifier.New(classifier.BadRequest, err.Error()))
 		return
 	}
 	if x.closed.Load() {
-		x.refuse(w, v, request, &classifier.Error{
-			Kind:       classifier.Stopping,
-			Detail:     "the instance is stopping; retry to reach another instance",
-			RetryAfter: stoppingRetryAfter,
-		})
+		x.refuse(w, v, request, classifier.NewStopping(nil))
 		return
 	}
-	responseStarted, err := x.serve(w, r, v, request)
+	err = x.serve(ctx, w, r, v, active)
 	if err == nil {
 		return
 	}
-	// A body that misses its deadline cancels the context too, although the caller
-	// is still connected.
-	bodyTimedOut := classifier.Classify(err).Kind == classifier.TooSlow
-	if errors.Is(r.Context().Err(), context.Canceled) && !bodyTimedOut {
+	if errors.Is(r.Context().Err(), context.Canceled) && !readEnded(ctx, err) {
 		x.log(v, request, err).Info("caller went away")
 		panic(http.ErrAbortHandler)
 	}
-	if responseStarted {
+	if w.sent {
 		// A part of the response was sent: only aborting the connection shows the
 		// caller that the response is incomplete.
 		x.log(v, request, err).Warn("answer broken off")
 		panic(http.ErrAbortHandler)
 	}
+	w.reset()
 	x.refuse(w, v, request, err)
 }
 
+// readEnded reports whether the router itself ended the reading of the request, which cancels
+// the context although the caller is still connected: a body missed its deadline, or a planned
+// stop has ended the request.
+func readEnded(ctx context.Context, err error) bool {
+	return classifier.Classify(err).Kind == classifier.TooSlow || errors.Is(context.Cause(ctx), classifier.ErrStopping)
+}
+
 // log returns a log entry for a request that ended with err; v is the view that
 // the decision was based on.
 func (x *Receiver) log(v *publisher.View, request *courier.Request, err error) *logrus.Entry {
@@ -116,26 +186,61 @@
 	})
 }
 
-func (x *Receiver) serve(w http.ResponseWriter, r *http.Request, v *publisher.View, request *courier.Request) (bool, error) {
+func (x *Receiver) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, v *publisher.View, active *activeRequest) error {
+	request := active.request
 	if v.Site == nil || !x.Publisher.Confirmed(time.Now()) {
-		return false, &classifier.Error{
+		return &classifier.Error{
 			Kind:       classifier.StaleConfiguration,
 			Detail:     "the instance has no configuration that is confirmed to be current",
 			RetryAfter: staleRetryAfter,
 		}
 	}
 	if err := checkHeaderSize(r, v.Site.Limits.HeaderBytes); err != nil {
-		return false, err
+		return err
 	}
 	job, err := x.newJob(v, r, request)
 	if err != nil {
-		return false, err
+		return err
+	}
+	if err := x.checkTimeLeft(&job); err != nil {
+		return err
 	}
+	x.active.setJob(active, &job)
 	setBodyDeadline(w, r, job.Deadline)
-	if request.Body, err = readBody(w, r, v.Site.Limits.BodyBytes); err != nil {
-		return false, err
+	if request.Body, err = readBodyUntil(ctx, w, r, v.Site.Limits.BodyBytes); err != nil {
+		return err
+	}
+	if _, err := x.Proxier.Serve(ctx, w, job); err != nil {
+		return err
+	}
+	if request.LastEvent == 0 {
+		x.durations.record(&job, time.Since(request.Received), x.declared)
+	}
+	return nil
+}
+
+// declared reports whether the configuration in force has the service.
+func (x *Receiver) declared(s identifier.Service) bool {
+	site := x.Publisher.View().Site
+	if site == nil {
+		return true
+	}
+	_, ok := site.Services[s]
+	return ok
+}
+
+// checkTimeLeft returns an error if a planned stop has begun that usually leaves too little time for
+// the job. A job whose own deadline comes first loses nothing by the stop.
+func (x *Receiver) checkTimeLeft(job *proxier.Job) error {
+	end := x.end.Load()
+	if end == nil || !job.Deadline.After(*end) {
+		return nil
+	}
+	usual, ok := x.durations.usual(job)
+	if left := time.Until(*end); ok && usual > left {
+		return classifier.NewStopping(errors.Errorf("usual duration %v, time left %v", usual, left))
 	}
-	return x.Proxier.Serve(r.Context(), w, job)
+	return nil
 }
 
 // newJob returns the job for a request, with what v declares for it.
@@ -172,11 +277,11 @@
 }
 
 // requestDeadline returns the request's deadline: the time of receipt plus the
-// caller's timeout or, if shorter, the route's.
+// caller's timeout or, if the caller sets none or a longer one, the route's.
 func requestDeadline(r *courier.Request, route *cataloguer.Route) time.Time {
 	timeout := callerTimeout(r)
-	if route.Timeout > 0 {
-		timeout = min(timeout, route.Timeout)
+	if route.Timeout > 0 && (r.Timeout <= 0 || route.Timeout < timeout) {
+		timeout = route.Timeout
 	}
 	return r.Received.Add(timeout)
 }
@@ -190,15 +295,11 @@
 }
 
 const (
-	// defaultTimeout applies if the caller sets no timeout; a shorter timeout of
-	// the route takes precedence.
+	// defaultTimeout applies if the caller sets no timeout; the route's takes precedence.
 	defaultTimeout = 30 * time.Second
 	// staleRetryAfter is the suggested retry delay while the instance waits for
 	// its configuration.
 	staleRetryAfter = 300 * time.Millisecond
-	// stoppingRetryAfter is the suggested retry delay while the instance is
-	// stopping; the retry should reach another instance.
-	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultRetryAfter is the suggested retry delay if the error sets none.
 	defaultRetryAfter = 500 * time.Millisecond
 )
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 	"golang.org/x/sync/errgroup"
@@ -42,8 +44,15 @@
 	// use: its soft memory limit.
 	runtimeMemoryShare = 0.7
 	// stopMargin is the part of Stop.Finish, the time that the platform grants
-	// for a stop, that is reserved for the steps after the last request.
-	stopMargin = 600 * time.Millisecond
+	// for a stop, that is reserved for the steps after the last request. The following
+	// constants limit these steps.
+	stopMargin = 700 * time.Millisecond
+	// answerTime is the time for the error responses to requests that have not ended.
+	answerTime = 200 * time.Millisecond
+	// goodbyeTime is the time to notify the peers that the instance is gone.
+	goodbyeTime = 250 * time.Millisecond
+	// componentTime is the time for the components to end.
+	componentTime = 150 * time.Millisecond
 )
 
 // storeDaemonParams are the components that a storeDaemon runs or uses.
@@ -73,7 +82,8 @@
 	params storeDaemonParams
 	group  *errgroup.Group
 	cancel context.CancelFunc
-	caller *http.Server
+	// callers accepts the callers' connections.
+	callers net.Listener
 
 	mu sync.Mutex
 	// running counts the running goroutines of each component.
@@ -143,15 +153,14 @@
 		cancel()
 		return err
 	}
-	callers, err := listenHTTP(ctx, p.Settings.Listen.Caller, "", "")
+	s.callers, err = listenHTTP(ctx, p.Settings.Listen.Caller, "", "")
 	if err != nil {
 		cancel()
 		return err
 	}
-	s.caller = p.Limiter.Server(p.Receiver)
 	s.spawn("callers", func() error {
 		s.awaitConfiguration(ctx)
-		return serveHTTP(ctx, s.caller, p.Limiter.Listen(callers))
+		return s.serveCallers(ctx)
 	})
 	servers := map[string]*http.Server{
 		p.Settings.Listen.Ready:    newHTTPServer(p.Settings, http.HandlerFunc(p.Receiver.Ready), nil),
@@ -180,6 +189,18 @@
 	return nil
 }
 
+// serveCallers serves callers until ctx ends. A planned stop closes the listener before, and the
+// open connections are still served.
+func (s *storeDaemon) serveCallers(ctx context.Context) error {
+	server := s.params.Limiter.Server(s.params.Receiver)
+	err := serveHTTP(ctx, server, s.params.Limiter.Listen(s.callers))
+	if !errors.Is(err, net.ErrClosed) || !s.params.Publisher.Stopping() {
+		return err
+	}
+	<-ctx.Done()
+	return server.Close()
+}
+
 const (
 	// startWait bounds how long a starting instance lets callers wait until it has
 	// a configuration. After that it refuses them until it has one.
@@ -270,29 +291,47 @@
 // time that the platform grants for the whole stop, it keeps stopMargin back.
 func (s *storeDaemon) stop(ctx context.Context) error {
 	p := s.params
-	noticeEnd := time.Now().Add(p.Settings.Stop.Notice.Std())
+	began := time.Now()
+	noticeEnd := began.Add(p.Settings.Stop.Notice.Std())
 	ctx, cancel := context.WithTimeout(ctx, p.Settings.Stop.Finish.Std()-stopMargin)
 	defer cancel()
+	p.Receiver.Stop(began.Add(p.Settings.Stop.Finish.Std() - stopMargin))
 	p.Log.WithField("requests", p.Receiver.Active()).Info("stopping: not ready for new work")
 	if err := p.Controller.Leave(ctx); err != nil {
 		p.Log.WithError(err).Warn("peers not told of the stop")
 	}
 	time.Sleep(time.Until(noticeEnd))
 	p.Receiver.Close()
-	if err := s.caller.Shutdown(ctx); err != nil {
-		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
+	if err := s.callers.Close(); err != nil {
+		p.Log.WithError(err).Warn("listener not closed")
+	}
+	if err := p.Limiter.Drain(ctx); err != nil {
+		s.endRequests(context.WithoutCancel(ctx), began)
 	}
 	s.depart(context.WithoutCancel(ctx))
 	s.cancel()
-	err := s.wait(stopMargin / 4)
+	err := s.wait(componentTime)
 	p.Log.Info("stopped")
 	return err
 }
 
-// depart notifies the peers that the instance is gone. It takes at most half of
-// stopMargin, so that a peer that does not respond cannot delay the stop.
+// endRequests ends the requests in flight at the end of a stop that began at began, and waits for
+// at most answerTime until their callers have been answered.
+func (s *storeDaemon) endRequests(ctx context.Context, began time.Time) {
+	p := s.params
+	p.Log.WithField("requests", p.Receiver.Active()).Warn("requests ended at the end of the time to finish")
+	p.Receiver.EndActive(began)
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	if err := p.Limiter.Drain(ctx); err != nil && p.Receiver.Active() > 0 {
+		p.Log.WithError(err).WithField("requests", p.Receiver.Active()).Error("requests cut off at the end of the time to finish")
+	}
+}
+
+// depart notifies the peers that the instance is gone. It takes at most goodbyeTime, so that a
+// peer that does not respond cannot delay the stop.
 func (s *storeDaemon) depart(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, stopMargin/2)
+	ctx, cancel := context.WithTimeout(ctx, goodbyeTime)
 	defer cancel()
 	result := make(chan error, 1)
 	s.spawn("departure", func() error {
