Let the holder of the placement lease give orders at once

Cause: an endpoint in the list says nothing of a load in progress. While endpoints load for longer than a standby waits for its turn (3 s), a standby takes the lease, finds them busy, and holds the lease for 5 s. The owner then can't give orders, and the holder waited for its turn of 3 s: endpoints that came back empty got no order for up to 3.7 s. Change: whoever holds the lease takes part at once. TestEndpointsWaitForLease failed with an order 6.25 s after the crash, 4.2 s allowed.

--- a/router/reconciler/reconciler.go
+++ b/router/reconciler/reconciler.go
@@ -154,11 +154,15 @@
 // instance in line asks for the lease.
 const standbyDelay = 3 * time.Second
 
-// takesPart reports whether this instance may ask for the lease to send the orders of
-// a plan: the owner of the service's pool at once, each other that may own it once
-// those before it in line have had standbyDelay each. If all instances asked, their
-// calls to the store would grow with the fleet.
+// takesPart reports whether this instance may send the orders of a plan: the holder of
+// the lease at once, since nobody else can, and otherwise the owner of the service's
+// pool at once and each other that may own it once those before it in line have had
+// standbyDelay each. If all instances asked for the lease, their calls to the store
+// would grow with the fleet.
 func (r *Reconciler) takesPart(v *publisher.View, s identifier.Service) bool {
+	if r.Lease.Valid() {
+		return true
+	}
 	rank, ok := assigner.Rank(s, v.Eligible, r.Self)
 	return ok && time.Since(r.plannedSince[s]) >= time.Duration(rank)*standbyDelay
 }
