Break ties between ranges by what the other data centres hold

Cause: each data centre gave its one large endpoint the first range, since all ranges tie there; its room kept the smaller ones away. Three endpoints held layers 0-20 of the small site, six to eight each other layer, and three crashes of first stages left nobody. Change: of ranges that tie in the group, the one with the least coverage in the fleet. Room in each data centre is the same, only which range has the large endpoint differs. TestThreeLossesTakeAllHolders failed with 3 holders, 5 wanted.

--- a/router/placer/move.go
+++ b/router/placer/move.go
@@ -40,12 +40,13 @@
 	}
 	centreGroups := groupsOf(e, endpoints)
 	groups := coverages(e, endpoints, centreGroups)
+	fleet := fleetCoverage(e, endpoints)
 	var best gain
 	for _, endpoint := range endpoints {
 		if endpoint.Leaving || !endpoint.HoldsLayers() {
 			continue
 		}
-		r, g := groups[centreGroups[endpoint.DataCentre]].bestMove(e, endpoint)
+		r, g := groups[centreGroups[endpoint.DataCentre]].bestMove(e, endpoint, fleet)
 		if best.less(g) {
 			best = g
 			m = Move{
@@ -57,24 +58,9 @@
 	return m, best.uncovered > 0
 }
 
-// coverages returns the coverage of each group, without endpoints that are leaving.
-// centreGroups gives the group of each data centre.
-func coverages(e *cataloguer.Engine, endpoints []cataloguer.Endpoint, centreGroups map[identifier.DataCentre]identifier.DataCentre) map[identifier.DataCentre]*coverage {
-	groups := make(map[identifier.DataCentre]*coverage)
-	for _, endpoint := range endpoints {
-		if !endpoint.Leaving && endpoint.HoldsLayers() {
-			coverageOf(groups, centreGroups[endpoint.DataCentre], e).add(e, endpoint.Accelerator, Range{
-				From: endpoint.From,
-				To:   endpoint.To,
-			})
-		}
-	}
-	return groups
-}
-
 // bestMove returns the range that an endpoint should hold in place of its own, and
 // the gain; both are zero if it should keep its layers.
-func (c *coverage) bestMove(e *cataloguer.Engine, endpoint cataloguer.Endpoint) (Range, gain) {
+func (c *coverage) bestMove(e *cataloguer.Engine, endpoint cataloguer.Endpoint, fleet *coverage) (Range, gain) {
 	count := layerCount(e, endpoint.Accelerator)
 	ownSlots := float64(estimator.Slots(e, endpoint.Accelerator, endpoint.To-endpoint.From))
 	remaining := math.Inf(1)
@@ -84,7 +70,7 @@
 	if count == 0 || remaining <= 0 {
 		return Range{}, gain{}
 	}
-	r := c.leastCovered(count)
+	r := c.leastCovered(count, fleet)
 	uncovered := identifier.Layer(0)
 	for l := r.From; l < r.To; l++ {
 		if c.slots[l] == 0 {
--- a/router/placer/placer.go
+++ b/router/placer/placer.go
@@ -28,18 +28,14 @@
 	if e.Layers <= 0 {
 		return plan
 	}
-	groups := make(map[identifier.DataCentre]*coverage)
 	centreGroups := groupsOf(e, endpoints)
+	groups := coverages(e, endpoints, centreGroups)
+	fleet := fleetCoverage(e, endpoints)
 	var empty []cataloguer.Endpoint
 	for _, endpoint := range endpoints {
-		if endpoint.Leaving {
-			continue
-		}
-		if endpoint.HoldsLayers() {
-			coverageOf(groups, centreGroups[endpoint.DataCentre], e).add(e, endpoint.Accelerator, Range{From: endpoint.From, To: endpoint.To})
-			continue
+		if !endpoint.Leaving && !endpoint.HoldsLayers() {
+			empty = append(empty, endpoint)
 		}
-		empty = append(empty, endpoint)
 	}
 	slices.SortFunc(empty, func(a, b cataloguer.Endpoint) int {
 		return cmp.Or(
@@ -54,8 +50,9 @@
 			continue
 		}
 		c := coverageOf(groups, centreGroups[endpoint.DataCentre], e)
-		r := c.leastCovered(count)
+		r := c.leastCovered(count, fleet)
 		c.add(e, endpoint.Accelerator, r)
+		fleet.add(e, endpoint.Accelerator, r)
 		plan[endpoint.EndpointIncarnation] = r
 	}
 	return plan
@@ -109,16 +106,52 @@
 	slots []float64
 }
 
+// coverages returns the coverage of each group, without endpoints that are leaving.
+// centreGroups gives the group of each data centre.
+func coverages(e *cataloguer.Engine, endpoints []cataloguer.Endpoint, centreGroups map[identifier.DataCentre]identifier.DataCentre) map[identifier.DataCentre]*coverage {
+	groups := make(map[identifier.DataCentre]*coverage)
+	for _, endpoint := range endpoints {
+		coverageOf(groups, centreGroups[endpoint.DataCentre], e).addEndpoint(e, endpoint)
+	}
+	return groups
+}
+
+// fleetCoverage returns the coverage of all endpoints together, without those that are
+// leaving.
+func fleetCoverage(e *cataloguer.Engine, endpoints []cataloguer.Endpoint) *coverage {
+	c := newCoverage(e)
+	for _, endpoint := range endpoints {
+		c.addEndpoint(e, endpoint)
+	}
+	return c
+}
+
+// newCoverage returns the coverage of no endpoints.
+func newCoverage(e *cataloguer.Engine) *coverage {
+	return &coverage{slots: make([]float64, e.Layers)}
+}
+
 // coverageOf returns the coverage of a group, which it creates if there is none.
 func coverageOf(groups map[identifier.DataCentre]*coverage, group identifier.DataCentre, e *cataloguer.Engine) *coverage {
 	c, ok := groups[group]
 	if !ok {
-		c = &coverage{slots: make([]float64, e.Layers)}
+		c = newCoverage(e)
 		groups[group] = c
 	}
 	return c
 }
 
+// addEndpoint adds the layers that an endpoint holds, unless it is leaving.
+func (c *coverage) addEndpoint(e *cataloguer.Engine, endpoint cataloguer.Endpoint) {
+	if endpoint.Leaving || !endpoint.HoldsLayers() {
+		return
+	}
+	c.add(e, endpoint.Accelerator, Range{
+		From: endpoint.From,
+		To:   endpoint.To,
+	})
+}
+
 // add adds to each layer of r the requests that an endpoint can run at once.
 func (c *coverage) add(e *cataloguer.Engine, a cataloguer.Accelerator, r Range) {
 	n := float64(estimator.Slots(e, a, r.To-r.From))
@@ -127,25 +160,31 @@
 	}
 }
 
-// leastCovered returns the range of count layers, aligned to the grid, that has
-// the least coverage. The last range is shifted to end at the last layer.
-func (c *coverage) leastCovered(count identifier.Layer) Range {
+// leastCovered returns the range of count layers, aligned to the grid, that has the
+// least coverage; of several, the one with the least coverage in the fleet, so that
+// groups don't all give the same layers to their one large endpoint. The last range is
+// shifted to end at the last layer.
+func (c *coverage) leastCovered(count identifier.Layer, fleet *coverage) Range {
 	layers := identifier.Layer(len(c.slots))
 	best := Range{}
-	leastSum := -1.0
 	for from := identifier.Layer(0); from < layers; from += count {
 		to := min(from+count, layers)
-		sum := 0.0
-		for l := to - min(count, to); l < to; l++ {
-			sum += c.slots[l]
+		r := Range{
+			From: to - min(count, to),
+			To:   to,
 		}
-		if leastSum < 0 || sum < leastSum {
-			leastSum = sum
-			best = Range{
-				From: to - min(count, to),
-				To:   to,
-			}
+		if best.To == 0 || cmp.Or(cmp.Compare(c.sum(r), c.sum(best)), cmp.Compare(fleet.sum(r), fleet.sum(best))) < 0 {
+			best = r
 		}
 	}
 	return best
 }
+
+// sum returns the sum of the coverage of the layers of r.
+func (c *coverage) sum(r Range) float64 {
+	sum := 0.0
+	for l := r.From; l < r.To; l++ {
+		sum += c.slots[l]
+	}
+	return sum
+}
--- a/router/placer/placer_test.go
+++ b/router/placer/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -164,3 +165,45 @@
 		}
 	})
 }
+
+// smallSite returns a fleet of 33 endpoints of three kinds in three data centres, and the
+// engine whose layers they hold.
+func smallSite() (*cataloguer.Engine, []cataloguer.Endpoint) {
+	e := &cataloguer.Engine{
+		Layers:       80,
+		LayerBytes:   1.75 * gigabyte,
+		ContextBytes: 918000,
+		Slots:        192,
+		UsualPrompt:  774,
+		UsualOutput:  203,
+		Accelerators: map[cataloguer.Accelerator]cataloguer.Kind{
+			"large":  {MemoryBytes: 72 * gigabyte},
+			"middle": {MemoryBytes: 43.2 * gigabyte},
+			"small":  {MemoryBytes: 21.6 * gigabyte},
+		},
+	}
+	return e, slices.Concat(
+		endpoints("a", "large", 1), endpoints("a", "middle", 6), endpoints("a", "small", 5),
+		endpoints("b", "large", 2), endpoints("b", "middle", 2), endpoints("b", "small", 5),
+		endpoints("c", "large", 1), endpoints("c", "middle", 3), endpoints("c", "small", 8),
+	)
+}
+
+// TestThreeLossesTakeAllHolders guards against a plan by which all data centres give
+// the same layers to their one large endpoint, so that three endpoints hold these layers
+// and six or more hold each other one.
+func TestThreeLossesTakeAllHolders(t *testing.T) {
+	e, fleet := smallSite()
+	after := apply(fleet, placer.Plan(e, fleet))
+	for l := range e.Layers {
+		holders := 0
+		for _, endpoint := range after {
+			if endpoint.From <= l && l < endpoint.To {
+				holders++
+			}
+		}
+		if got, want := holders, 5; got < want {
+			t.Errorf("layer %d: got %d holders, want at least %d", l, got, want)
+		}
+	}
+}
