Let a crashed endpoint restart before another is moved to its layers

Cause: as soon as the list had lost the only holder of layers in a data centre, another endpoint there was moved to them. It took nothing new until its last stream had ended and its load was done (7 to 12 s in the logged plays), while the crashed endpoint was listed again, empty, 0.1 to 0.6 s after the move and got the same layers. Ruled out: ending the moved endpoint's streams; they are sound. Change: while other data centres hold the layers, a move must have been proposed for 3 s. Layers that nobody holds are moved to at once, as before. TestMoveTakesCoverAway failed before; TestNobodyReplacesLostEndpoint and TestLayerWithoutHolder bound the wait.

--- a/router/placer/move.go
+++ b/router/placer/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/identifier"
@@ -58,6 +59,11 @@
 	return m, best.uncovered > 0
 }
 
+// Covers reports whether each layer is held by an endpoint that is not leaving.
+func Covers(e *cataloguer.Engine, endpoints []cataloguer.Endpoint) bool {
+	return !slices.Contains(fleetCoverage(e, endpoints).slots, 0)
+}
+
 // bestMove returns the range that an endpoint should hold in place of its own, and
 // the gain; both are zero if it should keep its layers.
 func (c *coverage) bestMove(e *cataloguer.Engine, endpoint cataloguer.Endpoint, fleet *coverage) (Range, gain) {
--- a/router/reconciler/rebalance.go
+++ b/router/reconciler/rebalance.go
@@ -14,6 +14,18 @@
 // one may be moved anyway.
 const moveTimeout = 15 * time.Second
 
+// restartTime is how long an endpoint that has left the list may take to restart. It
+// then holds no layers and gets those that are missing.
+const restartTime = 3 * time.Second
+
+// proposal is a move that would cover layers that nobody in a data centre holds, and
+// since when it is proposed.
+type proposal struct {
+	dataCentre identifier.DataCentre
+	layers     placer.Range
+	since      time.Time
+}
+
 // pendingMove is a change of an endpoint's layers that is in progress.
 type pendingMove struct {
 	incarnation identifier.EndpointIncarnation
@@ -36,7 +48,9 @@
 }
 
 // rebalance moves one endpoint of a service at a time, as placer.Rebalance proposes, to
-// cover layers that no endpoint of its group of data centres holds.
+// cover layers that no endpoint of its group of data centres holds. While other groups
+// hold them, it first lets an endpoint restart: the one that is moved serves no requests
+// until its streams have ended and its load is done.
 func (r *Reconciler) rebalance(ctx context.Context, v *publisher.View, s identifier.Service, e *cataloguer.Engine, fleet []cataloguer.Endpoint) {
 	if current, ok := r.pendingMoves[s]; ok && !current.finished(fleet) {
 		return
@@ -45,6 +59,10 @@
 	move, ok := placer.Rebalance(e, fleet)
 	if !ok {
 		delete(r.plannedSince, s)
+		delete(r.proposals, s)
+		return
+	}
+	if since := r.propose(s, move); placer.Covers(e, fleet) && time.Since(since) < restartTime {
 		return
 	}
 	r.recordPlan(s)
@@ -59,3 +77,17 @@
 	r.Log.WithField("endpoint", move.Endpoint.Endpoint).WithField("from", move.Layers.From).WithField("to", move.Layers.To).Info("endpoint is moved to layers that nobody holds")
 	r.applyPlan(ctx, fleet, map[identifier.EndpointIncarnation]placer.Range{move.Endpoint.EndpointIncarnation: move.Layers})
 }
+
+// propose records a move and returns since when it is proposed.
+func (r *Reconciler) propose(s identifier.Service, m placer.Move) time.Time {
+	p := r.proposals[s]
+	if p.dataCentre != m.Endpoint.DataCentre || p.layers != m.Layers {
+		p = proposal{
+			dataCentre: m.Endpoint.DataCentre,
+			layers:     m.Layers,
+			since:      time.Now(),
+		}
+		r.proposals[s] = p
+	}
+	return p.since
+}
--- a/router/reconciler/reconciler.go
+++ b/router/reconciler/reconciler.go
@@ -73,6 +73,8 @@
 	plannedSince map[identifier.Service]time.Time
 	// pendingMoves has, for each service, the move that is in progress.
 	pendingMoves map[identifier.Service]pendingMove
+	// proposals has, for each service, the move that was last proposed.
+	proposals map[identifier.Service]proposal
 }
 
 // fleetSize is the size of a fleet and the time since which it is unchanged.
@@ -94,6 +96,7 @@
 	r.fleetSizes = make(map[identifier.Service]fleetSize)
 	r.plannedSince = make(map[identifier.Service]time.Time)
 	r.pendingMoves = make(map[identifier.Service]pendingMove)
+	r.proposals = make(map[identifier.Service]proposal)
 	t := time.NewTicker(reconcileInterval)
 	defer t.Stop()
 	for {
--- a/router/reconciler/repair_test.go
+++ b/router/reconciler/repair_test.go
@@ -29,10 +29,12 @@
 	// listDelay is how long the list shows an endpoint after it has crashed.
 	listDelay = 3 * time.Second
 	// restartTime is how long a crashed endpoint takes to be listed again, empty.
-	restartTime = 3200 * time.Millisecond
+	restartTime = 3600 * time.Millisecond
 	// orderTime is how long an endpoint without layers may be listed before it is
 	// ordered to load some.
 	orderTime = time.Second
+	// instances is how many instances there are.
+	instances = 9
 	// fleetTick is the step in which the fleet changes.
 	fleetTick = 10 * time.Millisecond
 )
@@ -223,14 +225,14 @@
 	return wholeLoadTime * time.Duration(r.To-r.From) / time.Duration(f.engine.Layers)
 }
 
-// run lets the fleet and the reconcilers of n instances run for a time.
-func (f *fleet) run(t *testing.T, n int, period time.Duration, script func(ctx context.Context)) {
+// run lets the fleet and the reconcilers of all instances run for a time.
+func (f *fleet) run(t *testing.T, period time.Duration, script func(ctx context.Context)) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithTimeout(t.Context(), period)
 	defer cancel()
-	f.instances = view(n).Eligible
+	f.instances = view(instances).Eligible
 	leases := newPlacement()
 	var group errgroup.Group
 	for _, name := range f.instances {
@@ -348,7 +350,7 @@
 		crashed = append(crashed, f.holders(30)[0], f.holders(70)[0])
 		starts := []time.Duration{0, 2 * time.Second, 6500 * time.Millisecond}
 		var last time.Duration
-		f.run(t, 9, 20*time.Second, func(context.Context) {
+		f.run(t, 20*time.Second, func(context.Context) {
 			for i, m := range crashed {
 				time.Sleep(starts[i] - last)
 				last = starts[i]
@@ -367,3 +369,74 @@
 		}
 	})
 }
+
+// onlyHolder returns a machine whose layers nobody else in its data centre holds.
+func (f *fleet) onlyHolder(t *testing.T) *machine {
+	t.Helper()
+	for _, m := range f.machines {
+		alone := !slices.ContainsFunc(f.machines, func(o *machine) bool {
+			return o != m && o.DataCentre == m.DataCentre && o.holds.From < m.holds.To && m.holds.From < o.holds.To
+		})
+		if alone {
+			return m
+		}
+	}
+	t.Fatal("each layer has several holders in each data centre, want one that has not")
+	return nil
+}
+
+// TestMoveTakesCoverAway guards against an endpoint that gives up its layers, and serves
+// nothing until its last stream has ended and its load is done, for layers that other
+// data centres hold and that the crashed endpoint loads again at once.
+func TestMoveTakesCoverAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := smallSite()
+		for _, m := range f.machines {
+			m.streamsUntil = time.Now().Add(9 * time.Second)
+		}
+		crashed := f.onlyHolder(t)
+		f.run(t, 12*time.Second, func(context.Context) { f.crash(crashed) })
+		for _, o := range f.orders {
+			if o.address != crashed.Address {
+				t.Errorf("%s: got an order to load %d to %d, want orders to %s only", o.address, o.layers.From, o.layers.To, crashed.Address)
+			}
+		}
+		if len(f.ordersTo(crashed)) == 0 {
+			t.Errorf("%s: got no order after its restart", crashed.Endpoint.Endpoint)
+		}
+	})
+}
+
+// TestNobodyReplacesLostEndpoint guards against a data centre that holds no copy of some
+// layers for good after the loss of an endpoint.
+func TestNobodyReplacesLostEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := smallSite()
+		crashed := f.onlyHolder(t)
+		crashed.stays = true
+		layers := crashed.holds
+		f.run(t, 12*time.Second, func(context.Context) { f.crash(crashed) })
+		for l := layers.From; l < layers.To; l++ {
+			if !slices.ContainsFunc(f.holders(l), func(m *machine) bool { return m.DataCentre == crashed.DataCentre }) {
+				t.Errorf("layer %d: got no holder in data centre %s, want one", l, crashed.DataCentre)
+			}
+		}
+	})
+}
+
+// TestLayerWithoutHolder guards against layers that nobody holds for longer than the
+// list takes to show the loss, and a load.
+func TestLayerWithoutHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := smallSite()
+		layers := f.holders(0)[0].holds
+		f.run(t, 15*time.Second, func(context.Context) {
+			for _, m := range f.holders(0) {
+				f.crash(m)
+			}
+		})
+		if got, want := f.uncovered, listDelay+orderTime+f.loadTime(layers); got > want {
+			t.Errorf("layers without a holder: got %v, want at most %v", got, want)
+		}
+	})
+}
