Place layers without endpoints that broke their streams and no longer answer

Cause: a crashed endpoint stays in the list for 2.8 to 3.4 s. Until then its layers counted as held: layers without any holder waited for the list, and an endpoint that came back empty got other layers than those that were missing. Ruled out: trusting broken streams alone; a sound endpoint may break some, so each is asked, and two questions in a row must stay unanswered (0.25 s apart). Change: the reconciler of the pool's owner leaves such endpoints out of the fleet. It asks only while some endpoint is empty or layers have no other holder. TestLayerWithoutHolder, in fake time: all holders of a range crash at once; 5.5 s without a holder before, 4.5 s (a load and a second) allowed and kept now.

--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -333,6 +333,18 @@
 	})
 }
 
+// Failed returns the listed endpoints of a service that broke a stream and have delivered
+// none since; none if this instance doesn't own the service's pool.
+func (g *Granter) Failed(ctx context.Context, s identifier.Service) (map[identifier.EndpointIncarnation]bool, error) {
+	return executor.Get(ctx, g.Loop, func() map[identifier.EndpointIncarnation]bool {
+		p, ok := g.pools[Key{Service: s}]
+		if !ok {
+			return nil
+		}
+		return p.scheduler.Failed()
+	})
+}
+
 // Load is the number of a pool's requests at one moment.
 type Load struct {
 	Waiting int `json:"waiting"`
--- a/router/granter/lost_test.go
+++ b/router/granter/lost_test.go
@@ -87,3 +87,36 @@
 		t.Errorf("tickets in use: got %d, want %d", got, want)
 	}
 }
+
+// TestFailed requires that the owner names the endpoint that broke a stream, and that an
+// instance that doesn't own the pool names none.
+func TestFailed(t *testing.T) {
+	o := newOwner(t)
+	o.configure(7, urgent)
+	failed, err := o.granter.Failed(t.Context(), service)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(failed) != 0 {
+		t.Errorf("without a pool: got %v, want none", failed)
+	}
+	stream := o.openAndAskSame(t)
+	t.Cleanup(stream.Close)
+	awaitDecisions(t, stream, 1)
+	broken := endpoint().EndpointIncarnation
+	stream.Send(&messenger.ToOwner{
+		Pool: string(service),
+		Releases: []*messenger.Release{{
+			Request:           "r1.1",
+			Failed:            string(broken.Endpoint),
+			FailedIncarnation: uint64(broken.Incarnation),
+		}},
+	})
+	failed, err = o.granter.Failed(t.Context(), service)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(failed) != 1 || !failed[broken] {
+		t.Errorf("after a stream broke: got %v, want %v", failed, broken)
+	}
+}
--- a/router/reconciler/reconciler.go
+++ b/router/reconciler/reconciler.go
@@ -56,6 +56,9 @@
 	Publisher *publisher.Publisher
 	Lease     Lease
 	Orderer   Orderer
+	// Failed, if not nil, returns the endpoints of a service that broke a stream and have
+	// delivered none since, as far as this instance knows.
+	Failed func(ctx context.Context, s identifier.Service) (map[identifier.EndpointIncarnation]bool, error)
 	// OnPlaced, if not nil, is called for each order that an endpoint has accepted.
 	OnPlaced func()
 	Log      logrus.FieldLogger
@@ -75,6 +78,9 @@
 	pendingMoves map[identifier.Service]pendingMove
 	// proposals has, for each service, the move that was last proposed.
 	proposals map[identifier.Service]proposal
+	// unanswered has how many questions in a row an endpoint that broke streams has not
+	// answered.
+	unanswered map[identifier.EndpointIncarnation]int
 }
 
 // fleetSize is the size of a fleet and the time since which it is unchanged.
@@ -97,6 +103,7 @@
 	r.plannedSince = make(map[identifier.Service]time.Time)
 	r.pendingMoves = make(map[identifier.Service]pendingMove)
 	r.proposals = make(map[identifier.Service]proposal)
+	r.unanswered = make(map[identifier.EndpointIncarnation]int)
 	t := time.NewTicker(reconcileInterval)
 	defer t.Stop()
 	for {
@@ -116,11 +123,12 @@
 		return
 	}
 	r.expireOrders()
+	r.forgetUnlisted(v)
 	for name, s := range v.Site.Services {
 		if s.Engine == nil || s.Engine.Layers == 0 {
 			continue
 		}
-		fleet := r.expectedFleet(v.Fleet[name])
+		fleet := r.withoutLost(ctx, name, s.Engine, r.expectedFleet(v.Fleet[name]))
 		if !r.readyToPlan(name, fleet) {
 			continue
 		}
--- a/router/reconciler/repair_test.go
+++ b/router/reconciler/repair_test.go
@@ -18,6 +18,7 @@
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/assigner"
 	"heatherhold.dev/router/placer"
 	"heatherhold.dev/router/publisher"
 	"heatherhold.dev/router/reconciler"
@@ -30,8 +31,10 @@
 	listDelay = 3 * time.Second
 	// restartTime is how long a crashed endpoint takes to be listed again, empty.
 	restartTime = 3600 * time.Millisecond
-	// orderTime is how long an endpoint without layers may be listed before it is
-	// ordered to load some.
+	// detectTime is how long the pool's owner takes to learn that an endpoint breaks its
+	// streams.
+	detectTime = 200 * time.Millisecond
+	// orderTime is how long after a change an order may be given.
 	orderTime = time.Second
 	// instances is how many instances there are.
 	instances = 9
@@ -79,6 +82,8 @@
 	publishers []*publisher.Publisher
 	instances  []identifier.Instance
 	orders     []order
+	// streamsBroken makes all machines break their streams, though they are up.
+	streamsBroken bool
 	// uncovered is how long a layer had no holder.
 	uncovered time.Duration
 }
@@ -193,6 +198,19 @@
 	return director.Report{Busy: m.loading()}, nil
 }
 
+// Failed returns the machines that broke their streams, as the pool's owner knows them.
+func (f *fleet) Failed(context.Context, identifier.Service) (map[identifier.EndpointIncarnation]bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[identifier.EndpointIncarnation]bool)
+	for _, m := range f.machines {
+		if f.streamsBroken || !m.up && m.listed && time.Since(m.crashedAt) >= detectTime {
+			out[m.EndpointIncarnation] = true
+		}
+	}
+	return out, nil
+}
+
 // Place lets a machine load layers once its streams have ended.
 func (f *fleet) Place(_ context.Context, p director.Placement) error {
 	f.mu.Lock()
@@ -248,6 +266,9 @@
 			Orderer: f,
 			Log:     log,
 		}
+		if rank, _ := assigner.Rank(service, f.instances, name); rank == 0 {
+			r.Failed = f.Failed
+		}
 		group.Go(func() error { return r.Run(ctx) })
 	}
 	f.publish()
@@ -424,8 +445,8 @@
 	})
 }
 
-// TestLayerWithoutHolder guards against layers that nobody holds for longer than the
-// list takes to show the loss, and a load.
+// TestLayerWithoutHolder guards against layers that nobody holds for longer than a load
+// and a second: the list shows crashed endpoints for seconds.
 func TestLayerWithoutHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := smallSite()
@@ -435,8 +456,21 @@
 				f.crash(m)
 			}
 		})
-		if got, want := f.uncovered, listDelay+orderTime+f.loadTime(layers); got > want {
+		if got, want := f.uncovered, orderTime+f.loadTime(layers); got > want {
 			t.Errorf("layers without a holder: got %v, want at most %v", got, want)
 		}
 	})
 }
+
+// TestSoundEndpointTakenForLost guards against an endpoint that is moved for the layers
+// of others that broke streams and still answer.
+func TestSoundEndpointTakenForLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := smallSite()
+		f.streamsBroken = true
+		f.run(t, 5*time.Second, func(context.Context) {})
+		for _, o := range f.orders {
+			t.Errorf("%s: got an order to load %d to %d, want none", o.address, o.layers.From, o.layers.To)
+		}
+	})
+}
--- a/router/scheduler/failure.go
+++ b/router/scheduler/failure.go
@@ -93,3 +93,14 @@
 		pausedUntil: now.Add(min(basePause<<min(f.consecutive, maxDoublings), maxPause)),
 	}
 }
+
+// Failed returns the listed endpoints that broke a stream and have delivered none since.
+func (p *Pool) Failed() map[identifier.EndpointIncarnation]bool {
+	out := make(map[identifier.EndpointIncarnation]bool)
+	for incarnation, s := range p.states {
+		if s.listed && s.failure.failed() {
+			out[incarnation] = true
+		}
+	}
+	return out
+}
--- a/router/scheduler/failure_test.go
+++ b/router/scheduler/failure_test.go
@@ -89,3 +89,30 @@
 		t.Errorf("got %d chains after an inconclusive probe, want 1", through)
 	}
 }
+
+// TestFailed requires that an endpoint that breaks a stream is reported as failed until a
+// stream through it ends well.
+func TestFailed(t *testing.T) {
+	p := newPool(3)
+	now := time.Unix(0, 0)
+	p.Ask(now, ask(0, "batch"))
+	first, _ := grantsThrough(p, now, "e1")
+	if got := p.Failed(); len(got) != 0 {
+		t.Errorf("failed before any stream ended: got %v, want none", got)
+	}
+	broken := first[0].Chain[1].EndpointIncarnation
+	p.Release(now, first[0].Request, scheduler.Outcome{Failed: broken})
+	if got := p.Failed(); len(got) != 1 || !got[broken] {
+		t.Errorf("failed after %v broke a stream: got %v, want only that one", broken, got)
+	}
+	now = now.Add(1100 * time.Millisecond)
+	p.Ask(now, ask(1, "batch"))
+	probes, _ := grantsThrough(p, now, "e1")
+	if len(probes) != 1 {
+		t.Fatalf("got %d probes, want 1", len(probes))
+	}
+	p.Release(now.Add(time.Second), probes[0].Request, scheduler.Outcome{Tokens: 5})
+	if got := p.Failed(); len(got) != 0 {
+		t.Errorf("failed after a stream that ended well: got %v, want none", got)
+	}
+}
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -208,7 +208,7 @@
 	return l
 }
 
-func newReconciler(s *loader.Settings, pub *publisher.Publisher, store *storer.Client, orders *orderer.Client, p *reporter.Reporter, log logrus.FieldLogger) *reconciler.Reconciler {
+func newReconciler(s *loader.Settings, pub *publisher.Publisher, store *storer.Client, orders *orderer.Client, g *granter.Granter, p *reporter.Reporter, log logrus.FieldLogger) *reconciler.Reconciler {
 	return &reconciler.Reconciler{
 		Self:      s.Instance,
 		Publisher: pub,
@@ -220,6 +220,7 @@
 			Term:   leaseTerm,
 		},
 		Orderer:  orders,
+		Failed:   g.Failed,
 		OnPlaced: p.CountPlacement,
 		Log:      log,
 	}
