Expect a wait by the endpoints that get work

Cause: the expected wait of a request counted endpoints that are paused after they broke their streams, while the list showed them. Ruled out: lowering the longest wait; it is right while all endpoints work. Change: the rate of the endpoints that get work; that of all, as before, if they don't hold every layer. TestFailedEndpointCounts failed with 39 admitted, 20 allowed.

--- a/router/scheduler/failure.go
+++ b/router/scheduler/failure.go
@@ -33,6 +33,11 @@
 	return f.consecutive > 0
 }
 
+// paused reports whether an endpoint gets no work but a probe.
+func (f *failure) paused(now time.Time) bool {
+	return f.failed() && (f.probe == "" || now.Before(f.probeStarted.Add(probeTime)))
+}
+
 // usableSlots returns how many of an endpoint's slots may be used.
 func (f *failure) usableSlots(now time.Time, slots int) int {
 	switch {
--- a/router/scheduler/failure_test.go
+++ b/router/scheduler/failure_test.go
@@ -116,3 +116,29 @@
 		t.Errorf("failed after a stream that ended well: got %v, want none", got)
 	}
 }
+
+// admitted returns how many urgent requests a full pool of two endpoints for each part
+// of the layers admits, after the given number of its streams were broken by one endpoint.
+func admitted(broken int) int {
+	p := newPool(6)
+	now := time.Unix(0, 0)
+	for i := range 8 {
+		p.Ask(now, ask(i, "batch"))
+	}
+	_, _ = grantsThrough(p, now, "e1")
+	for i := range broken {
+		p.Release(now, ask(i, "batch").Request, scheduler.Outcome{Failed: reports(6)[1].EndpointIncarnation})
+	}
+	for i := range 100 {
+		p.Ask(now, ask(100+i, "urgent"))
+	}
+	return p.Waiting()
+}
+
+// TestFailedEndpointCounts guards against requests that wait for as long as they may and
+// are then refused, since the expected wait counts an endpoint that gets no work.
+func TestFailedEndpointCounts(t *testing.T) {
+	if got, want := admitted(1), admitted(0)/2+1; got > want {
+		t.Errorf("admitted with half of a part's endpoints failed: got %d, want at most %d", got, want)
+	}
+}
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"heatherhold.dev/core/identifier"
@@ -129,6 +130,44 @@
 // updateCapacity calculates the token rate that the pool can sustain.
 func (p *Pool) updateCapacity() {
 	p.capacity = planner.Capacity(p.runners, p.policy.Layers, p.policy.Version)
+	p.working = working{}
+}
+
+// working is the token rate that the endpoints that get work can sustain.
+type working struct {
+	capacity float64
+	// paused has, for each runner, whether it got no work when the rate was calculated.
+	paused []bool
+}
+
+// workingCapacity returns the token rate that the endpoints that get work at now can
+// sustain; that of all if they don't hold every layer.
+func (p *Pool) workingCapacity(now time.Time) float64 {
+	paused := make([]bool, len(p.runners))
+	for i, s := range p.runnerStates {
+		paused[i] = s.failure.paused(now)
+	}
+	if !slices.Equal(paused, p.working.paused) {
+		p.working = working{
+			capacity: planner.Capacity(p.unpaused(paused), p.policy.Layers, p.policy.Version),
+			paused:   paused,
+		}
+	}
+	if p.working.capacity <= 0 {
+		return p.capacity
+	}
+	return p.working.capacity
+}
+
+// unpaused returns the runners that are not paused.
+func (p *Pool) unpaused(paused []bool) []planner.Runner {
+	out := make([]planner.Runner, 0, len(p.runners))
+	for i, r := range p.runners {
+		if !paused[i] {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // updateLoads sets each runner's load at now. A runner that has just failed counts
@@ -303,7 +342,7 @@
 	if !p.saturated() {
 		return 0
 	}
-	return time.Duration(ahead / p.capacity * float64(time.Second))
+	return time.Duration(ahead / p.workingCapacity(now) * float64(time.Second))
 }
 
 // tokensAhead returns the tokens of the queued work that would be served before w: of
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -45,6 +45,7 @@
 	states       map[identifier.EndpointIncarnation]*runnerState
 	// capacity is the token rate that the pool can sustain, in tokens a second.
 	capacity float64
+	working  working
 	// unplaceable is the least size of a request that found no chain in the present
 	// round of decisions.
 	unplaceable identifier.Tokens
