Take the lease as a standby only for endpoints that have accepted no order

Cause: the list doesn't show a load in progress. After two crashes some seconds apart a standby took the lease while both loaded, and the pool's owner, the only instance that knows which endpoints broke their streams, could not order anything for the rest of the lease. Ruled out: a longer wait for standbys (a load more): an owner that doesn't reach the store would cost that too. Change: a standby looks for an endpoint of the plan that has accepted no order since its start. TestStandbyTakesLeaseWhileEndpointsLoad failed with two instances that asked, TestLayerWithoutHolderAfterOtherCrashes with 5.49 s without a holder, 4.5 s allowed (a load and a second).

--- a/router/reconciler/reconciler.go
+++ b/router/reconciler/reconciler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -135,7 +136,7 @@
 		plan := placer.Plan(s.Engine, fleet)
 		if len(plan) > 0 {
 			r.recordPlan(name)
-			if r.takesPart(v, name) {
+			if r.takesPart(v, name) && r.needsLease(ctx, v, name, fleet, plan) {
 				r.applyPlan(ctx, fleet, plan)
 			}
 			continue
@@ -178,6 +179,37 @@
 	return ok && time.Since(r.plannedSince[s]) >= time.Duration(rank)*standbyDelay
 }
 
+// needsLease reports whether this instance needs the lease for a plan. The list doesn't
+// show a load in progress, so an instance other than the pool's owner first looks for an
+// endpoint of the plan that has accepted no order yet.
+func (r *Reconciler) needsLease(ctx context.Context, v *publisher.View, s identifier.Service, fleet []cataloguer.Endpoint, plan map[identifier.EndpointIncarnation]placer.Range) bool {
+	if rank, ok := assigner.Rank(s, v.Eligible, r.Self); r.Lease.Valid() || ok && rank == 0 {
+		return true
+	}
+	var unordered atomic.Bool
+	var group errgroup.Group
+	group.SetLimit(maxConcurrentOrders)
+	for _, e := range fleet {
+		if _, ok := plan[e.EndpointIncarnation]; !ok {
+			continue
+		}
+		group.Go(func() error {
+			report, err := r.Orderer.Report(ctx, e.Address)
+			if err != nil {
+				r.Log.WithError(err).WithField("endpoint", e.Endpoint).Debug("endpoint not asked for its state; no lease needed for it")
+				return nil
+			}
+			if report.Orders == 0 {
+				unordered.Store(true)
+			}
+			return nil
+		})
+	}
+	// The functions return no errors: an endpoint that does not answer takes no order.
+	_ = group.Wait()
+	return unordered.Load()
+}
+
 // recordPlan records that the plan of a service has orders that are not sent.
 func (r *Reconciler) recordPlan(s identifier.Service) {
 	if _, ok := r.plannedSince[s]; !ok {
--- a/router/reconciler/repair_test.go
+++ b/router/reconciler/repair_test.go
@@ -54,6 +54,8 @@
 	holds    placer.Range
 	target   placer.Range
 	loadedAt time.Time
+	// accepted is how many orders it has accepted since its start.
+	accepted int64
 	// streamsUntil is when the last stream through it ends.
 	streamsUntil time.Time
 	crashedAt    time.Time
@@ -76,6 +78,7 @@
 // fleet is a fleet in fake time: the endpoints, and the list of them.
 type fleet struct {
 	engine *cataloguer.Engine
+	leases *placement
 
 	mu         sync.Mutex
 	machines   []*machine
@@ -195,7 +198,10 @@
 	if !m.up {
 		return director.Report{}, errRefused
 	}
-	return director.Report{Busy: m.loading()}, nil
+	return director.Report{
+		Orders: m.accepted,
+		Busy:   m.loading(),
+	}, nil
 }
 
 // Failed returns the machines that broke their streams, as the pool's owner knows them.
@@ -228,6 +234,7 @@
 		To:   p.To,
 	}
 	m.hold(placer.Range{})
+	m.accepted++
 	m.target = r
 	m.loadedAt = now.Add(max(m.streamsUntil.Sub(now), 0) + f.loadTime(r))
 	f.orders = append(f.orders, order{
@@ -251,7 +258,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), period)
 	defer cancel()
 	f.instances = view(instances).Eligible
-	leases := newPlacement()
+	f.leases = newPlacement()
 	var group errgroup.Group
 	for _, name := range f.instances {
 		pub := publisher.New()
@@ -260,7 +267,7 @@
 			Self:      name,
 			Publisher: pub,
 			Lease: lease{
-				placement: leases,
+				placement: f.leases,
 				instance:  name,
 			},
 			Orderer: f,
@@ -310,6 +317,7 @@
 		m.listed = false
 	case !m.up && !m.stays && now.Sub(m.crashedAt) >= restartTime:
 		m.Incarnation++
+		m.accepted = 0
 		m.hold(placer.Range{})
 		m.up = true
 		m.listed = true
@@ -474,3 +482,42 @@
 		}
 	})
 }
+
+// TestStandbyTakesLeaseWhileEndpointsLoad guards against a lease that leaves the pool's
+// owner, who knows which endpoints broke their streams, while nothing is to be ordered.
+func TestStandbyTakesLeaseWhileEndpointsLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := smallSite()
+		first, second := f.holders(0)[0], f.holders(30)[0]
+		f.run(t, 15*time.Second, func(context.Context) {
+			f.crash(first)
+			time.Sleep(2 * time.Second)
+			f.crash(second)
+		})
+		if got, want := len(f.leases.attempts), 1; got != want {
+			t.Errorf("instances that asked for the lease: got %v, want the owner only", f.leases.attempts)
+		}
+	})
+}
+
+// TestLayerWithoutHolderAfterOtherCrashes is TestLayerWithoutHolder while the lease for
+// earlier crashes may still be held.
+func TestLayerWithoutHolderAfterOtherCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := smallSite()
+		first, second := f.holders(30)[0], f.holders(70)[0]
+		layers := f.holders(0)[0].holds
+		f.run(t, 25*time.Second, func(context.Context) {
+			f.crash(first)
+			time.Sleep(2 * time.Second)
+			f.crash(second)
+			time.Sleep(7500 * time.Millisecond)
+			for _, m := range f.holders(0) {
+				f.crash(m)
+			}
+		})
+		if got, want := f.uncovered, orderTime+f.loadTime(layers); got > want {
+			t.Errorf("layers without a holder: got %v, want at most %v", got, want)
+		}
+	})
+}
