--- a/router/reconciler/reconciler.go
+++ b/router/reconciler/reconciler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,6 +57,9 @@
 	Publisher *publisher.Publisher
 	Lease     Lease
 	Orderer   Orderer
+	// Failed, if not nil, returns the endpoints of a service that broke a stream and have
+	// delivered none since, as far as this instance knows.
+	Failed func(ctx context.Context, s identifier.Service) (map[identifier.EndpointIncarnation]bool, error)
 	// OnPlaced, if not nil, is called for each order that an endpoint has accepted.
 	OnPlaced func()
 	Log      logrus.FieldLogger
@@ -73,6 +77,11 @@
 	plannedSince map[identifier.Service]time.Time
 	// pendingMoves has, for each service, the move that is in progress.
 	pendingMoves map[identifier.Service]pendingMove
+	// proposals has, for each service, the move that was last proposed.
+	proposals map[identifier.Service]proposal
+	// unanswered has how many questions in a row an endpoint that broke streams has not
+	// answered.
+	unanswered map[identifier.EndpointIncarnation]int
 }
 
 // fleetSize is the size of a fleet and the time since which it is unchanged.
@@ -94,6 +103,8 @@
 	r.fleetSizes = make(map[identifier.Service]fleetSize)
 	r.plannedSince = make(map[identifier.Service]time.Time)
 	r.pendingMoves = make(map[identifier.Service]pendingMove)
+	r.proposals = make(map[identifier.Service]proposal)
+	r.unanswered = make(map[identifier.EndpointIncarnation]int)
 	t := time.NewTicker(reconcileInterval)
 	defer t.Stop()
 	for {
@@ -113,18 +124,19 @@
 		return
 	}
 	r.expireOrders()
+	r.forgetUnlisted(v)
 	for name, s := range v.Site.Services {
 		if s.Engine == nil || s.Engine.Layers == 0 {
 			continue
 		}
-		fleet := r.expectedFleet(v.Fleet[name])
+		fleet := r.withoutLost(ctx, name, s.Engine, r.expectedFleet(v.Fleet[name]))
 		if !r.readyToPlan(name, fleet) {
 			continue
 		}
 		plan := placer.Plan(s.Engine, fleet)
 		if len(plan) > 0 {
 			r.recordPlan(name)
-			if r.takesPart(v, name) {
+			if r.takesPart(v, name) && r.needsLease(ctx, v, name, fleet, plan) {
 				r.applyPlan(ctx, fleet, plan)
 			}
 			continue
@@ -154,15 +166,50 @@
 // instance in line asks for the lease.
 const standbyDelay = 3 * time.Second
 
-// takesPart reports whether this instance may ask for the lease to send the orders of
-// a plan: the owner of the service's pool at once, each other that may own it once
-// those before it in line have had standbyDelay each. If all instances asked, their
-// calls to the store would grow with the fleet.
+// takesPart reports whether this instance may send the orders of a plan: the holder of
+// the lease at once, since nobody else can, and otherwise the owner of the service's
+// pool at once and each other that may own it once those before it in line have had
+// standbyDelay each. If all instances asked for the lease, their calls to the store
+// would grow with the fleet.
 func (r *Reconciler) takesPart(v *publisher.View, s identifier.Service) bool {
+	if r.Lease.Valid() {
+		return true
+	}
 	rank, ok := assigner.Rank(s, v.Eligible, r.Self)
 	return ok && time.Since(r.plannedSince[s]) >= time.Duration(rank)*standbyDelay
 }
 
+// needsLease reports whether this instance needs the lease for a plan. The list doesn't
+// show a load in progress, so an instance other than the pool's owner first looks for an
+// endpoint of the plan that has accepted no order yet.
+func (r *Reconciler) needsLease(ctx context.Context, v *publisher.View, s identifier.Service, fleet []cataloguer.Endpoint, plan map[identifier.EndpointIncarnation]placer.Range) bool {
+	if rank, ok := assigner.Rank(s, v.Eligible, r.Self); r.Lease.Valid() || ok && rank == 0 {
+		return true
+	}
+	var unordered atomic.Bool
+	var group errgroup.Group
+	group.SetLimit(maxConcurrentOrders)
+	for _, e := range fleet {
+		if _, ok := plan[e.EndpointIncarnation]; !ok {
+			continue
+		}
+		group.Go(func() error {
+			report, err := r.Orderer.Report(ctx, e.Address)
+			if err != nil {
+				r.Log.WithError(err).WithField("endpoint", e.Endpoint).Debug("endpoint not asked for its state; no lease needed for it")
+				return nil
+			}
+			if report.Orders == 0 {
+				unordered.Store(true)
+			}
+			return nil
+		})
+	}
+	// The functions return no errors: an endpoint that does not answer takes no order.
+	_ = group.Wait()
+	return unordered.Load()
+}
+
 // recordPlan records that the plan of a service has orders that are not sent.
 func (r *Reconciler) recordPlan(s identifier.Service) {
 	if _, ok := r.plannedSince[s]; !ok {
--- a/router/scheduler/failure.go
+++ b/router/scheduler/failure.go
@@ -33,6 +33,11 @@
 	return f.consecutive > 0
 }
 
+// paused reports whether an endpoint gets no work but a probe.
+func (f *failure) paused(now time.Time) bool {
+	return f.failed() && (f.probe == "" || now.Before(f.probeStarted.Add(probeTime)))
+}
+
 // usableSlots returns how many of an endpoint's slots may be used.
 func (f *failure) usableSlots(now time.Time, slots int) int {
 	switch {
@@ -93,3 +98,14 @@
 		pausedUntil: now.Add(min(basePause<<min(f.consecutive, maxDoublings), maxPause)),
 	}
 }
+
+// Failed returns the listed endpoints that broke a stream and have delivered none since.
+func (p *Pool) Failed() map[identifier.EndpointIncarnation]bool {
+	out := make(map[identifier.EndpointIncarnation]bool)
+	for incarnation, s := range p.states {
+		if s.listed && s.failure.failed() {
+			out[incarnation] = true
+		}
+	}
+	return out
+}
--- a/router/scheduler/failure_test.go
+++ b/router/scheduler/failure_test.go
@@ -89,3 +89,56 @@
 		t.Errorf("got %d chains after an inconclusive probe, want 1", through)
 	}
 }
+
+// TestFailed requires that an endpoint that breaks a stream is reported as failed until a
+// stream through it ends well.
+func TestFailed(t *testing.T) {
+	p := newPool(3)
+	now := time.Unix(0, 0)
+	p.Ask(now, ask(0, "batch"))
+	first, _ := grantsThrough(p, now, "e1")
+	if got := p.Failed(); len(got) != 0 {
+		t.Errorf("failed before any stream ended: got %v, want none", got)
+	}
+	broken := first[0].Chain[1].EndpointIncarnation
+	p.Release(now, first[0].Request, scheduler.Outcome{Failed: broken})
+	if got := p.Failed(); len(got) != 1 || !got[broken] {
+		t.Errorf("failed after %v broke a stream: got %v, want only that one", broken, got)
+	}
+	now = now.Add(1100 * time.Millisecond)
+	p.Ask(now, ask(1, "batch"))
+	probes, _ := grantsThrough(p, now, "e1")
+	if len(probes) != 1 {
+		t.Fatalf("got %d probes, want 1", len(probes))
+	}
+	p.Release(now.Add(time.Second), probes[0].Request, scheduler.Outcome{Tokens: 5})
+	if got := p.Failed(); len(got) != 0 {
+		t.Errorf("failed after a stream that ended well: got %v, want none", got)
+	}
+}
+
+// admitted returns how many urgent requests a full pool of two endpoints for each part
+// of the layers admits, after the given number of its streams were broken by one endpoint.
+func admitted(broken int) int {
+	p := newPool(6)
+	now := time.Unix(0, 0)
+	for i := range 8 {
+		p.Ask(now, ask(i, "batch"))
+	}
+	_, _ = grantsThrough(p, now, "e1")
+	for i := range broken {
+		p.Release(now, ask(i, "batch").Request, scheduler.Outcome{Failed: reports(6)[1].EndpointIncarnation})
+	}
+	for i := range 100 {
+		p.Ask(now, ask(100+i, "urgent"))
+	}
+	return p.Waiting()
+}
+
+// TestFailedEndpointCounts guards against requests that wait for as long as they may and
+// are then refused, since the expected wait counts an endpoint that gets no work.
+func TestFailedEndpointCounts(t *testing.T) {
+	if got, want := admitted(1), admitted(0)/2+1; got > want {
+		t.Errorf("admitted with half of a part's endpoints failed: got %d, want at most %d", got, want)
+	}
+}
