Add failing tests of one request that crashes endpoint after endpoint

A request that comes again, with the same path, caller and body, ends each endpoint that begins to run it.

--- a/router/proxier/crash_test.go
+++ b/router/proxier/crash_test.go
@@ -42,6 +42,8 @@
 	// onCrash, if set, is called before an endpoint crashes.
 	onCrash func()
 	alive   []identifier.Stage
+	// ended, if set, reports for other endpoints than its own whether they have crashed.
+	ended func(address string) bool
 
 	mu      sync.Mutex
 	next    int
@@ -99,6 +101,11 @@
 	fmt.Fprint(w, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 }
 
+// gone reports whether an endpoint has crashed.
+func (f *crashingFleet) gone(address string) bool {
+	return f.dead[address] || (f.ended != nil && f.ended(address))
+}
+
 // Acquire grants the next endpoint that has not crashed.
 func (f *crashingFleet) Acquire(_ context.Context, _ identifier.Service, ask *messenger.Ask) (*acquirer.Ticket, error) {
 	f.mu.Lock()
@@ -106,7 +113,7 @@
 	for range f.alive {
 		s := f.alive[f.next%len(f.alive)]
 		f.next++
-		if !f.dead[s.Address] {
+		if !f.gone(s.Address) {
 			return acquirer.NewTicket(ask, []identifier.Stage{s}), nil
 		}
 	}
@@ -118,7 +125,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.probes++
-	if f.dead[address] {
+	if f.gone(address) {
 		return director.Report{}, errors.New("connection refused")
 	}
 	return director.Report{Slowdown: 1}, nil
--- /dev/null
+++ b/router/proxier/deadly_test.go
@@ -0,0 +1,157 @@
+package proxier_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/courier"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/proxier"
+)
+
+const (
+	// maxLostToRequest is how many endpoints may end under one request.
+	maxLostToRequest = 3
+	// deadlyBody is the body of the request under which endpoints end.
+	deadlyBody = "deadly"
+)
+
+// mortal is an endpoint that ends, with its listener and all its connections, when it
+// begins to run the deadly request.
+type mortal struct {
+	cataloguer.Endpoint
+	// ended is set once it has.
+	ended atomic.Bool
+}
+
+// newMortal returns an endpoint that answers a sound request with answer. Before it ends it
+// sends header.
+func newMortal(t *testing.T, name, header, answer string) *mortal {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &mortal{
+		Endpoint: cataloguer.Endpoint{
+			EndpointIncarnation: identifier.EndpointIncarnation{
+				Endpoint:    identifier.Endpoint(name),
+				Incarnation: 1,
+			},
+			Service: "s",
+			Address: l.Addr().String(),
+		},
+	}
+	acceptConns(t, l, func(c net.Conn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		if string(body) == deadlyBody {
+			io.WriteString(c, header)
+			m.ended.Store(true)
+			l.Close()
+			return
+		}
+		io.WriteString(c, answer)
+	})
+	return m
+}
+
+// countEnded returns how many of the endpoints have ended.
+func countEnded(endpoints []*mortal) int {
+	n := 0
+	for _, m := range endpoints {
+		if m.ended.Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// serveBody forwards one request with the given body.
+func serveBody(f *fixture, body string) error {
+	w := httptest.NewRecorder()
+	_, err := f.proxier.Serve(context.Background(), w, proxier.Job{
+		Request: &courier.Request{
+			ID:       "r1",
+			Method:   http.MethodPost,
+			Host:     "h",
+			URI:      "/x",
+			Body:     []byte(body),
+			Received: time.Now(),
+		},
+		Route:    &f.route,
+		Service:  "s",
+		Engine:   f.engine,
+		Deadline: time.Now().Add(2 * time.Second),
+	})
+	return err
+}
+
+// TestPlainRequestSentOnAfterEndpointsEnded guards against sending one request to endpoint
+// after endpoint of a plain service, although each of them ends.
+func TestPlainRequestSentOnAfterEndpointsEnded(t *testing.T) {
+	f := newFixture(cataloguer.Idempotent, false)
+	var endpoints []*mortal
+	view := *f.proxier.Publisher.View()
+	view.Fleet = make(map[identifier.Service][]cataloguer.Endpoint)
+	for _, name := range strings.Split("abcdefghijklmnop", "") {
+		m := newMortal(t, name, "", "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
+		endpoints = append(endpoints, m)
+		view.Fleet["s"] = append(view.Fleet["s"], m.Endpoint)
+	}
+	f.proxier.Publisher.Publish(&view)
+	for range 12 {
+		_ = serveBody(f, deadlyBody)
+		if err := serveBody(f, "sound"); err != nil {
+			t.Errorf("got error %v for a sound request, want none", err)
+		}
+	}
+	if got := countEnded(endpoints); got == 0 || got > maxLostToRequest {
+		t.Errorf("got %d endpoints ended under one request, want 1 to %d", got, maxLostToRequest)
+	}
+}
+
+// TestStreamSentOnAfterEndpointsEnded guards against sending one request, which shares no
+// part of its prompt, to endpoint after endpoint of a model, although each of them ends.
+func TestStreamSentOnAfterEndpointsEnded(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	fleet := newCrashingFleet(t, "", 0)
+	f := newFixture(cataloguer.Resumable, true)
+	f.proxier.Tickets = fleet
+	f.proxier.Orderer = fleet
+	var endpoints []*mortal
+	for _, name := range strings.Split("abcdefghijklmnop", "") {
+		m := newMortal(t, name, header, header+"f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n")
+		endpoints = append(endpoints, m)
+		fleet.alive = append(fleet.alive, identifier.Stage{
+			EndpointIncarnation: m.EndpointIncarnation,
+			Address:             m.Address,
+			To:                  4,
+		})
+	}
+	fleet.ended = func(address string) bool {
+		return slices.ContainsFunc(endpoints, func(m *mortal) bool { return m.Address == address && m.ended.Load() })
+	}
+	for range 12 {
+		_ = serveBody(f, deadlyBody)
+		if err := serveBody(f, "sound"); err != nil {
+			t.Errorf("got error %v for a sound request, want none", err)
+		}
+	}
+	if got := countEnded(endpoints); got == 0 || got > maxLostToRequest {
+		t.Errorf("got %d endpoints ended under one request, want 1 to %d", got, maxLostToRequest)
+	}
+}
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -106,6 +106,12 @@
 		Service: "s",
 		Address: l.Addr().String(),
 	}
+	acceptConns(t, l, serve)
+}
+
+// acceptConns serves the listener's connections until the test ends.
+func acceptConns(t *testing.T, l net.Listener, serve func(c net.Conn)) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
