--- a/core/identifier/identifier.go
+++ b/core/identifier/identifier.go
@@ -31,6 +31,9 @@
 	Version string
 	// Part names one part of a prompt that several requests may share.
 	Part string
+	// Fingerprint names what a caller sends: it is the same each time that the caller sends
+	// the same request.
+	Fingerprint string
 )
 
 // Counted quantities.
--- a/core/messenger/operator.go
+++ b/core/messenger/operator.go
@@ -99,23 +99,24 @@
 	Stored bool `json:"kept"`
 }
 
-// QuarantinedPart is a part of prompts that is suspected or condemned.
+// QuarantinedPart is a part of prompts, or a whole request, that is suspected or condemned.
 type QuarantinedPart struct {
+	// Part is the name of the part, or "request:" and the fingerprint of the request.
 	Part      string `json:"part"`
 	Condemned bool   `json:"condemned"`
 	Crashes   int    `json:"crashes"`
 	// LastCrashMs is how long ago the last endpoint crashed, and TestInMs how long it is
-	// until the part may be tested; both are in milliseconds.
+	// until it may be tested; both are in milliseconds.
 	LastCrashMs int64 `json:"last-crash-ms"`
 	TestInMs    int64 `json:"test-in-ms"`
 }
 
-// QuarantineList lists the suspected and condemned parts that an instance knows.
+// QuarantineList lists the suspected and condemned parts and requests that an instance knows.
 type QuarantineList struct {
 	Parts []QuarantinedPart `json:"parts"`
 }
 
-// PartRelease makes the crashes so far count no longer against a part.
+// PartRelease makes the crashes so far count no longer against a part, or a whole request.
 type PartRelease struct {
 	Part string `json:"part"`
 }
--- a/operator/printer/quarantine.go
+++ b/operator/printer/quarantine.go
@@ -9,14 +9,14 @@
 	"heatherhold.dev/core/messenger"
 )
 
-// Quarantine prints the parts of prompts that are suspected or condemned.
+// Quarantine prints the requests and the parts of prompts that are suspected or condemned.
 func Quarantine(w io.Writer, output string, q messenger.QuarantineList) error {
 	if output == JSON {
 		return writeJSON(w, q)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
 	// Errors of the tabwriter are returned by Flush.
-	_, _ = fmt.Fprintln(t, "PART\tVERDICT\tCRASHES\tLAST CRASH\tNEXT TEST")
+	_, _ = fmt.Fprintln(t, "PART OR REQUEST\tVERDICT\tCRASHES\tLAST CRASH\tNEXT TEST")
 	for _, p := range q.Parts {
 		verdict := "suspected"
 		if p.Condemned {
--- a/operator/quarantine.go
+++ b/operator/quarantine.go
@@ -9,7 +9,7 @@
 func (t *tool) quarantineCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use:   "quarantine",
-		Short: "List the parts of prompts that crash endpoints",
+		Short: "List the requests and parts of prompts that crash endpoints",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			q, err := t.client.Quarantine(c.Context())
@@ -25,11 +25,13 @@
 
 func (t *tool) releaseCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:   "release PART",
-		Short: "Send requests with a part of prompts again, at all instances",
-		Long: `Send requests with a part of prompts again, at all instances.
+		Use:   "release NAME",
+		Short: "Send a request, or requests with a part of prompts, again",
+		Long: `Send requests with a part of prompts again, or a whole request, at all instances.
 
-The crashes so far count no longer against the part; if endpoints go on to crash
+The name is that of the part, or "request:" and the fingerprint of the request.
+
+The crashes so far count no longer against it; if endpoints go on to crash
 under it, it is condemned again.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
--- a/router/administrator/quarantine.go
+++ b/router/administrator/quarantine.go
@@ -12,13 +12,12 @@
 	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/classifier"
-	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/authenticator"
 	"heatherhold.dev/router/quarantiner"
 )
 
-// Quarantine serves operators' requests about parts of prompts that crash endpoints. Set
+// Quarantine serves operators' requests about what crashes endpoints. Set
 // the exported fields before Register.
 type Quarantine struct {
 	Quarantiner *quarantiner.Quarantiner
@@ -53,15 +52,16 @@
 	}
 }
 
-// list returns the suspected and condemned parts, condemned ones first.
+// list returns the suspected and condemned parts and requests, those with the most crashes
+// first.
 func (a *Quarantine) list(http.ResponseWriter, *http.Request) (any, error) {
 	now := time.Now()
 	verdicts := a.Quarantiner.Verdicts(now)
 	out := messenger.QuarantineList{Parts: []messenger.QuarantinedPart{}}
-	for _, part := range slices.Sorted(maps.Keys(verdicts)) {
-		v := verdicts[part]
+	for _, key := range slices.SortedFunc(maps.Keys(verdicts), quarantiner.CompareKeys) {
+		v := verdicts[key]
 		out.Parts = append(out.Parts, messenger.QuarantinedPart{
-			Part:        string(part),
+			Part:        key.String(),
 			Condemned:   v.Condemned,
 			Crashes:     v.Crashes,
 			LastCrashMs: now.Sub(v.LastCrash).Milliseconds(),
@@ -77,7 +77,7 @@
 	if err := json.NewDecoder(r.Body).Decode(&release); err != nil || release.Part == "" {
 		return nil, classifier.New(classifier.BadRequest, "want a JSON object with the part to release")
 	}
-	if !a.Quarantiner.Release(time.Now(), identifier.Part(release.Part)) {
+	if !a.Quarantiner.Release(time.Now(), quarantiner.ParseKey(release.Part)) {
 		return nil, classifier.New(classifier.NotFound, "no endpoint is known to have crashed under this part")
 	}
 	a.Log.WithField("part", release.Part).Warn("part of prompts released by an operator")
--- a/router/administrator/quarantine_test.go
+++ b/router/administrator/quarantine_test.go
@@ -30,7 +30,7 @@
 		Log:  log,
 	}
 	for _, name := range []identifier.Endpoint{"a", "b", "c"} {
-		q.RecordCrash(time.Now().Add(-time.Second), identifier.EndpointIncarnation{Endpoint: name}, []identifier.Part{"bad"})
+		q.RecordCrash(time.Now().Add(-time.Second), identifier.EndpointIncarnation{Endpoint: name}, []quarantiner.Key{quarantiner.PartKey("bad")})
 	}
 	for _, test := range []struct {
 		name, hash, key, method, path, body string
--- a/router/exchanger/exchanger.go
+++ b/router/exchanger/exchanger.go
@@ -169,14 +169,10 @@
 		}
 		_ = c.Close()
 	}
-	d := net.Dialer{Timeout: x.DialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", req.Address)
+	raw, err := x.dial(ctx, req.Address)
 	if err != nil {
 		return nil, err
 	}
-	if x.OnConnOpened != nil {
-		x.OnConnOpened()
-	}
 	c := &conn{
 		Conn:    raw,
 		address: req.Address,
@@ -185,6 +181,25 @@
 	return c, nil
 }
 
+// dial opens a new connection.
+func (x *Exchanger) dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: x.DialTimeout}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err == nil && x.OnConnOpened != nil {
+		x.OnConnOpened()
+	}
+	return c, err
+}
+
+// Probe opens a connection to an address and closes it at once.
+func (x *Exchanger) Probe(ctx context.Context, address string) error {
+	c, err := x.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // popIdle removes and returns the most recently used idle connection to address, or
 // nil if there is none.
 func (x *Exchanger) popIdle(address string) *conn {
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -276,7 +276,9 @@
 	a.bytesSinceProgress = 0
 	s.lastEvent.Store(e.id)
 	s.forwarded++
-	a.progressed.Store(true)
+	if !a.progressed.Swap(true) {
+		s.recordProgress()
+	}
 	s.timing.recordEvent(time.Now())
 	return nil
 }
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"maps"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
 
+	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/exchanger"
 	"heatherhold.dev/router/quarantiner"
 )
@@ -25,18 +28,63 @@
 	return a.answering.Load() && !a.progressed.Load()
 }
 
-// admit returns the permission to send the request. A stream that has forwarded events
-// needs no verdict: the parts of its prompt crash no endpoint.
-func (s *stream) admit() (*quarantiner.Pass, error) {
-	parts := s.job.Request.Parts
+const (
+	// maxHold limits how long a request is held that may soon be sent, and holdInterval is
+	// how often it is looked at meanwhile.
+	maxHold      = time.Second
+	holdInterval = 20 * time.Millisecond
+)
+
+// admit returns the permission to send a request with the given keys. A request under which
+// an endpoint crashed is held while another instance sends it.
+func (x *Proxier) admit(ctx context.Context, deadline time.Time, keys []quarantiner.Key) (*quarantiner.Pass, error) {
+	start := time.Now()
+	longest := min(maxHold, time.Until(deadline)/2)
+	for {
+		now := time.Now()
+		pass, refusal := x.Quarantiner.Admit(now, keys)
+		if refusal == nil {
+			return pass, nil
+		}
+		if refusal.Hold <= 0 || now.Sub(start) >= longest {
+			return nil, quarantined(refusal)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, quarantined(refusal)
+		case <-time.After(min(refusal.Hold, holdInterval)):
+		}
+	}
+}
+
+// acquire admits the request and acquires a chain for it. It is admitted anew if an endpoint
+// crashed under the same request while it waited for the chain. A stream that has forwarded
+// events needs no verdict: it crashes no endpoint.
+func (s *stream) acquire(ctx context.Context) (*quarantiner.Pass, *acquirer.Ticket, error) {
+	keys := s.keys
 	if s.forwarded > 0 {
-		parts = nil
+		keys = nil
 	}
-	pass, refusal := s.proxier.Quarantiner.Admit(time.Now(), parts)
-	if refusal != nil {
-		return nil, quarantined(refusal)
+	for {
+		pass, err := s.proxier.admit(ctx, s.job.Deadline, keys)
+		if err != nil {
+			return nil, nil, err
+		}
+		ticket, err := s.acquireTicket(ctx)
+		if err != nil {
+			pass.End()
+			return nil, nil, err
+		}
+		refusal := pass.Check(time.Now())
+		if refusal == nil {
+			return pass, ticket, nil
+		}
+		ticket.Release(acquirer.Outcome{})
+		pass.End()
+		if refusal.Hold <= 0 {
+			return nil, nil, quarantined(refusal)
+		}
 	}
-	return pass, nil
 }
 
 // quarantined returns the error for a request that is not sent.
@@ -45,9 +93,13 @@
 	if r.Condemned {
 		action = "are refused"
 	}
+	what := "requests with part " + r.Name + " of the prompt"
+	if r.Scope == quarantiner.WholeRequest {
+		what = "the same request, " + r.Name
+	}
 	return &classifier.Error{
 		Kind:       classifier.Quarantined,
-		Detail:     fmt.Sprintf("%d endpoints crashed as they began to answer requests with part %s of the prompt; such requests %s", r.Crashes, r.Part, action),
+		Detail:     fmt.Sprintf("%d endpoints crashed as they began to answer %s; such requests %s", r.Crashes, what, action),
 		RetryAfter: r.RetryAfter,
 	}
 }
@@ -57,42 +109,89 @@
 	return errors.As(err, &e) && e.Kind == classifier.Quarantined
 }
 
-// recordEvidence records what a finished attempt says about the parts of the prompt. If
-// the endpoint crashed before the first event, each of them may be the cause.
+// recordEvidence records what a finished attempt says about the request and the parts of its
+// prompt. If an endpoint crashed before the first event, each of them may be the cause.
 func (s *stream) recordEvidence(ctx context.Context, a *attempt, err error) {
 	q := s.proxier.Quarantiner
-	parts := s.job.Request.Parts
 	s.suspect = false
-	if len(parts) == 0 {
+	if a.progressed.Load() && a.failed.Endpoint == "" {
+		q.RecordAnswer(time.Now(), s.keys)
 		return
 	}
-	if a.progressed.Load() && a.failed.Endpoint == "" {
-		q.RecordAnswer(time.Now(), parts)
+	if s.forwarded > 0 || !a.unanswered() || ctx.Err() != nil {
 		return
 	}
-	if s.forwarded > 0 || !a.unanswered() || ctx.Err() != nil || !s.proxier.crashed(ctx, a, err) {
+	failed, crashed := s.proxier.crashed(ctx, a, err)
+	if !crashed {
 		return
 	}
-	s.suspect = true
-	q.RecordCrash(time.Now(), a.failed, parts)
+	keys := s.keys
+	if !errors.Is(err, exchanger.ErrLost) && !s.proxier.refuses(ctx, addressOf(a.chain(), failed)) {
+		keys = keys[1:]
+	}
+	s.suspect = len(s.job.Request.Parts) > 0
+	q.RecordCrash(time.Now(), failed, keys)
 }
 
-// crashed reports whether the attempt failed because its endpoint ended. A lost
-// connection alone does not show that: the endpoint is asked for a report.
-func (x *Proxier) crashed(ctx context.Context, a *attempt, err error) bool {
+// recordProgress records the first event of an attempt: the request crashed no endpoint.
+func (s *stream) recordProgress() {
+	s.proxier.Quarantiner.RecordAnswer(time.Now(), s.keys[:1])
+}
+
+// crashed returns the endpoint of the attempt's chain that ended, and whether there is one. A
+// lost connection alone does not show that: the endpoints are asked for a report.
+func (x *Proxier) crashed(ctx context.Context, a *attempt, err error) (identifier.EndpointIncarnation, bool) {
 	var stage *stageError
 	if errors.As(err, &stage) {
-		return stage.detail == reasonUnresponsive
+		return stage.incarnation, stage.detail == reasonUnresponsive
 	}
 	if !errors.Is(err, exchanger.ErrLost) {
-		return false
+		return identifier.EndpointIncarnation{}, false
+	}
+	for _, s := range a.chain() {
+		crashed := x.reports.crashed(s.EndpointIncarnation, func() bool {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+			defer cancel()
+			_, err := x.Orderer.Report(ctx, s.Address)
+			return err != nil
+		})
+		if crashed {
+			return s.EndpointIncarnation, true
+		}
+	}
+	return identifier.EndpointIncarnation{}, false
+}
+
+// dialTimeout limits the wait for a connection to an endpoint that may have ended.
+const dialTimeout = 250 * time.Millisecond
+
+// refuses reports whether nothing listens at an address any more.
+func (x *Proxier) refuses(ctx context.Context, address string) bool {
+	return errors.Is(x.dial(ctx, address), syscall.ECONNREFUSED)
+}
+
+// dial tries to connect to an endpoint, whatever has become of the request.
+func (x *Proxier) dial(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), dialTimeout)
+	defer cancel()
+	return x.Exchanger.Probe(ctx, address)
+}
+
+// recordEvidence records what a finished attempt says about the request. An endpoint that
+// takes no connection after it lost one has ended.
+func (p *plainRequest) recordEvidence(ctx context.Context, e cataloguer.Endpoint, err error) {
+	q := p.proxier.Quarantiner
+	if err == nil {
+		q.RecordAnswer(time.Now(), p.keys)
+		return
+	}
+	if p.cut || !errors.Is(err, exchanger.ErrLost) {
+		return
+	}
+	crashed := p.proxier.reports.crashed(e.EndpointIncarnation, func() bool { return p.proxier.dial(ctx, e.Address) != nil })
+	if crashed {
+		q.RecordCrash(time.Now(), e.EndpointIncarnation, p.keys)
 	}
-	return x.reports.crashed(a.failed, func() bool {
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		_, err := x.Orderer.Report(ctx, addressOf(a.chain(), a.failed))
-		return err != nil
-	})
 }
 
 // crashReports remembers for a short time which endpoints were asked whether they
--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -16,12 +16,15 @@
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/balancer"
 	"heatherhold.dev/router/exchanger"
+	"heatherhold.dev/router/quarantiner"
 )
 
 // plainRequest is one request to a plain service.
 type plainRequest struct {
 	proxier *Proxier
 	job     Job
+	// keys are what crashes and answers are recorded under.
+	keys    []quarantiner.Key
 	w       http.ResponseWriter
 	started bool
 	late    bool
@@ -31,6 +34,8 @@
 	runs  int
 	avoid []identifier.EndpointIncarnation
 	sent  sentTo
+	// cut is set if the last attempt ended because its time was over or the caller left.
+	cut bool
 }
 
 // completeResponse is a response that has been read completely.
@@ -74,12 +79,14 @@
 
 func (p *plainRequest) run(ctx context.Context) error {
 	for {
-		e, err := p.pick(ctx)
+		pass, e, err := p.choose(ctx)
 		if err != nil {
 			return finalError(ctx, p.ran, err)
 		}
 		response, err := p.send(ctx, e)
 		p.proxier.Balancer.Done(time.Now(), e.EndpointIncarnation, outcome(ctx, response, err))
+		p.recordEvidence(ctx, e, err)
+		pass.End()
 		if err == nil {
 			p.logServed(e, response)
 			return p.write(response)
@@ -87,11 +94,12 @@
 		p.avoid = append(p.avoid, e.EndpointIncarnation)
 		retry := ctx.Err() == nil && p.mayRetry(err) && p.proxier.spendRetry(p.job.Service)
 		p.proxier.log(p.job).WithError(err).WithFields(logrus.Fields{
-			"endpoint": e.Endpoint,
-			"runs":     p.runs,
-			"left-ms":  time.Until(p.job.Deadline).Milliseconds(),
-			"again":    retry,
-			"retries":  p.proxier.budget(time.Now(), p.job.Service).Remaining(),
+			"endpoint":    e.Endpoint,
+			"runs":        p.runs,
+			"left-ms":     time.Until(p.job.Deadline).Milliseconds(),
+			"again":       retry,
+			"retries":     p.proxier.budget(time.Now(), p.job.Service).Remaining(),
+			"fingerprint": p.keys[0].Name,
 		}).Warn("attempt failed")
 		if retry {
 			response.release()
@@ -122,6 +130,31 @@
 	log.Info("request served")
 }
 
+// choose admits the request and picks an endpoint for it. It is admitted anew if an endpoint
+// crashed under the same request while it waited for the endpoint.
+func (p *plainRequest) choose(ctx context.Context) (*quarantiner.Pass, cataloguer.Endpoint, error) {
+	for {
+		pass, err := p.proxier.admit(ctx, p.job.Deadline, p.keys)
+		if err != nil {
+			return nil, cataloguer.Endpoint{}, err
+		}
+		e, err := p.pick(ctx)
+		if err != nil {
+			pass.End()
+			return nil, e, err
+		}
+		refusal := pass.Check(time.Now())
+		if refusal == nil {
+			return pass, e, nil
+		}
+		p.proxier.Balancer.Done(time.Now(), e.EndpointIncarnation, balancer.Cancelled)
+		pass.End()
+		if refusal.Hold <= 0 {
+			return nil, e, quarantined(refusal)
+		}
+	}
+}
+
 // pick chooses an endpoint. If the limits of all endpoints are used up, it waits for the
 // first one whose turn comes within the target, or for half of the time left.
 func (p *plainRequest) pick(ctx context.Context) (cataloguer.Endpoint, error) {
@@ -178,6 +211,7 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(attemptFraction*float64(remaining)))
 		defer cancel()
 	}
+	defer func() { p.cut = ctx.Err() != nil }()
 	sentAt := time.Now()
 	response, err := p.proxier.Exchanger.Open(ctx, p.proxier.newRequest(j, e.Address, p.sent.add(e.Address), courier.RequestMetadata{
 		Endpoint:  e.Endpoint,
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -108,6 +108,7 @@
 			proxier: x,
 			job:     j,
 			engine:  j.Engine,
+			keys:    keysOf(j),
 			w:       w,
 			timing:  timing{startedAt: time.Now()},
 		}
@@ -119,6 +120,7 @@
 	p := &plainRequest{
 		proxier: x,
 		job:     j,
+		keys:    keysOf(j),
 		w:       w,
 	}
 	err = p.run(ctx)
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -21,6 +21,7 @@
 	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/exchanger"
 	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/quarantiner"
 )
 
 // stream is one request to a model service.
@@ -28,6 +29,8 @@
 	proxier *Proxier
 	job     Job
 	engine  *cataloguer.Engine
+	// keys are what crashes and answers are recorded under.
+	keys    []quarantiner.Key
 	w       http.ResponseWriter
 	started bool
 	// status is the HTTP status sent to the caller, once started.
@@ -100,15 +103,16 @@
 // logFailure logs an attempt that did not deliver the complete response.
 func (s *stream) logFailure(err error, retry bool) {
 	s.proxier.log(s.job).WithError(err).WithFields(logrus.Fields{
-		"chain":      formatChain(s.chain),
-		"last":       s.lastEvent.Load(),
-		"runs":       s.runs,
-		"left-ms":    time.Until(s.job.Deadline).Milliseconds(),
-		"again":      retry,
-		"retries":    s.proxier.budget(time.Now(), s.job.Service).Remaining(),
-		"queued-ms":  s.timing.queued.Milliseconds(),
-		"parts":      s.job.Request.Parts,
-		"unanswered": s.unanswered,
+		"chain":       formatChain(s.chain),
+		"last":        s.lastEvent.Load(),
+		"runs":        s.runs,
+		"left-ms":     time.Until(s.job.Deadline).Milliseconds(),
+		"again":       retry,
+		"retries":     s.proxier.budget(time.Now(), s.job.Service).Remaining(),
+		"queued-ms":   s.timing.queued.Milliseconds(),
+		"parts":       s.job.Request.Parts,
+		"unanswered":  s.unanswered,
+		"fingerprint": s.keys[0].Name,
 	}).Warn("attempt failed")
 }
 
@@ -167,19 +171,11 @@
 
 // tryChain acquires a chain and reads its response to the end.
 func (s *stream) tryChain(ctx context.Context) error {
-	pass, err := s.admit()
+	pass, ticket, err := s.acquire(ctx)
 	if err != nil {
 		return err
 	}
 	defer pass.End()
-	ticket, err := s.acquireTicket(ctx)
-	if err != nil {
-		return err
-	}
-	if refusal := pass.Check(time.Now()); refusal != nil {
-		ticket.Release(acquirer.Outcome{})
-		return quarantined(refusal)
-	}
 	a := &attempt{
 		stream:          s,
 		ticket:          ticket,
--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -1,7 +1,9 @@
 package quarantiner
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"heatherhold.dev/core/identifier"
@@ -13,8 +15,6 @@
 	newsPeriod = 10 * time.Second
 	// maxSent limits the records in one message.
 	maxSent = 512
-	// maxPartBytes limits the name of a part in a message.
-	maxPartBytes = 64
 )
 
 // News returns what to send to a peer: the records that changed lately.
@@ -42,25 +42,31 @@
 		Digest:   q.digest(),
 		Complete: q.complete,
 	}
-	var parts []identifier.Part
-	for part, r := range q.records {
+	var keys []Key
+	for key, r := range q.records {
 		if match(r) {
-			parts = append(parts, part)
+			keys = append(keys, key)
 		}
 	}
-	slices.SortFunc(parts, func(a, b identifier.Part) int {
-		return q.records[b].lastCrash().Compare(q.records[a].lastCrash())
-	})
-	for _, part := range parts[:min(len(parts), maxSent)] {
-		m.Parts = append(m.Parts, q.records[part].wire(now, part))
+	q.sortByCrash(keys)
+	for _, key := range keys[:min(len(keys), maxSent)] {
+		m.Parts = append(m.Parts, q.records[key].wire(now, key))
 	}
+	m.Parts = append(m.Parts, q.wireClaims(now)...)
 	return m
 }
 
+// sortByCrash sorts keys by their last crash, the newest first.
+func (q *Quarantiner) sortByCrash(keys []Key) {
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(q.records[b].lastCrash().Compare(q.records[a].lastCrash()), CompareKeys(a, b))
+	})
+}
+
 func (q *Quarantiner) digest() uint64 {
 	var d uint64
-	for part, r := range q.records {
-		d ^= r.digest(part)
+	for key, r := range q.records {
+		d ^= r.digest(key)
 	}
 	return d
 }
@@ -80,23 +86,28 @@
 	q.announce(news)
 }
 
-// mergePart merges a report about one part and reports whether it was news.
+// mergePart merges a report about one key, or a claim, and reports whether it was news.
 func (q *Quarantiner) mergePart(now time.Time, p *messenger.SuspectPart) bool {
-	part := identifier.Part(p.GetPart())
-	if part == "" || len(part) > maxPartBytes {
-		q.Log.WithField("bytes", len(part)).Warn("report of a part with an invalid name set aside")
+	text := p.GetPart()
+	if text == "" || len(text) > maxKeyBytes {
+		q.Log.WithField("bytes", len(text)).Warn("report of a part with an invalid name set aside")
 		return false
 	}
-	if !recent(p) {
+	if claimed, ok := strings.CutPrefix(text, claimPrefix); ok {
+		return q.mergeClaim(now, ParseKey(claimed), p.GetReleased())
+	}
+	key := ParseKey(text)
+	kept := retentionOf(key.Scope)
+	if !recent(p, kept) {
 		return false
 	}
-	r := q.record(now, part)
+	r := q.record(now, key)
 	if r == nil {
 		return false
 	}
 	changed := false
 	for _, c := range p.GetCrashes() {
-		if age := age(c.GetAgeMs()); age <= retention {
+		if age := age(c.GetAgeMs()); age <= kept {
 			changed = r.addCrash(incarnationOf(c.GetEndpoint()), now.Add(-age)) || changed
 		}
 	}
@@ -106,19 +117,19 @@
 	changed = changed || answered.id != r.answered.id || released.id != r.released.id
 	if changed {
 		r.changedAt = now
-		q.reportAnswer(now, part, r)
+		q.reportAnswer(now, key, r)
 	}
 	return changed
 }
 
 // recent reports whether a report has a crash that is still to be known.
-func recent(p *messenger.SuspectPart) bool {
-	return slices.ContainsFunc(p.GetCrashes(), func(c *messenger.EndpointCrash) bool { return age(c.GetAgeMs()) <= retention })
+func recent(p *messenger.SuspectPart, kept time.Duration) bool {
+	return slices.ContainsFunc(p.GetCrashes(), func(c *messenger.EndpointCrash) bool { return age(c.GetAgeMs()) <= kept })
 }
 
 // age converts an age in a message; it is never negative.
 func age(ms int64) time.Duration {
-	return time.Duration(min(max(ms, 0), (2*retention).Milliseconds())) * time.Millisecond
+	return time.Duration(min(max(ms, 0), (2*requestRetention).Milliseconds())) * time.Millisecond
 }
 
 func mergeEvent(now time.Time, e event, m *messenger.PartEvent) event {
@@ -143,9 +154,9 @@
 }
 
 // wire returns the record as a message.
-func (r *record) wire(now time.Time, part identifier.Part) *messenger.SuspectPart {
+func (r *record) wire(now time.Time, key Key) *messenger.SuspectPart {
 	m := &messenger.SuspectPart{
-		Part:     string(part),
+		Part:     key.String(),
 		Answered: r.answered.wire(now),
 		Released: r.released.wire(now),
 	}
@@ -178,7 +189,7 @@
 	return q.complete
 }
 
-// Restore merges the parts that are kept in the platform's store.
+// Restore merges the condemned keys that are kept in the platform's store.
 func (q *Quarantiner) Restore(now time.Time, parts []*messenger.SuspectPart) {
 	q.Merge(now, &messenger.Quarantine{
 		Complete: true,
@@ -186,15 +197,21 @@
 	})
 }
 
-// Condemned returns the condemned parts, to be kept in the platform's store.
+// Condemned returns the condemned keys, to be kept in the platform's store, those with the
+// newest crashes first.
 func (q *Quarantiner) Condemned(now time.Time) []*messenger.SuspectPart {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var out []*messenger.SuspectPart
-	for part, v := range q.judge(now) {
+	var keys []Key
+	for key, v := range q.judge(now) {
 		if v.Condemned {
-			out = append(out, q.records[part].wire(now, part))
+			keys = append(keys, key)
 		}
 	}
+	q.sortByCrash(keys)
+	var out []*messenger.SuspectPart
+	for _, key := range keys {
+		out = append(out, q.records[key].wire(now, key))
+	}
 	return out
 }
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -1,11 +1,15 @@
-// Package quarantiner finds the parts of prompts that crash endpoints, and keeps the
-// requests that hold them from reaching more endpoints.
+// Package quarantiner finds the requests that crash endpoints, and the parts of prompts
+// that do, and keeps them from reaching more endpoints.
 //
 // An endpoint that crashes takes many requests with it. Of these, only those can be the
-// cause for which it had begun to answer and had sent nothing. A part that was in such a
-// request at several crashes, and under which nothing was answered meanwhile, is suspected
-// and then condemned. The instances exchange what they observed, so that each comes to
-// the same verdicts.
+// cause for which it had begun to answer and had sent nothing. What such requests had in
+// common at several crashes is suspected and then condemned, if nothing was answered under
+// it meanwhile: the whole request, which a caller sends again and again, or one part of
+// their prompts. The instances exchange what they observed, so that each comes to the same
+// verdicts.
+//
+// After a first crash a request is sent by one instance at a time. The instance claims it
+// and waits until a claim of another one would have arrived.
 package quarantiner
 
 import (
@@ -23,23 +27,27 @@
 )
 
 const (
-	// maxRecords limits the parts that are known.
+	// maxRecords limits the keys that are known.
 	maxRecords = 4096
 	// evictBatch is how many of them are removed at once.
 	evictBatch = maxRecords / 8
-	// retention is how long a part is known after its last crash.
-	retention = 6 * time.Hour
+	// retention is how long a part is known after its last crash, and requestRetention a
+	// whole request.
+	retention        = 6 * time.Hour
+	requestRetention = 24 * time.Hour
 	// verdictAge is how long verdicts are used before they are made anew.
 	verdictAge = 20 * time.Millisecond
 	// testTimeout ends a test whose request neither crashes an endpoint nor is answered.
 	testTimeout = 30 * time.Second
-	// suspectedRetryAfter is the suggested retry delay while a part is suspected.
+	// suspectedRetryAfter is the suggested retry delay while a key is suspected, and
+	// maxRetryAfter the longest one.
 	suspectedRetryAfter = time.Second
-	// answerRefresh is how often an answer under a known part is reported anew.
+	maxRetryAfter       = time.Hour
+	// answerRefresh is how often an answer under a known key is reported anew.
 	answerRefresh = answerWindow / 3
 )
 
-// Quarantiner holds what is known of parts. Set the exported fields before the first
+// Quarantiner holds what is known of keys. Set the exported fields before the first
 // call.
 type Quarantiner struct {
 	Self identifier.Instance
@@ -50,78 +58,97 @@
 	Log    logrus.FieldLogger
 
 	mu       sync.Mutex
-	records  map[identifier.Part]*record
+	records  map[Key]*record
 	answers  recentAnswers
-	tests    map[identifier.Part]time.Time
+	tests    map[Key]time.Time
+	claims   map[Key]*claim
 	complete bool
-	verdicts map[identifier.Part]Verdict
+	verdicts map[Key]Verdict
 	judgedAt time.Time
+	lost     int
 }
 
 // Refusal is the reason why a request is not sent.
 type Refusal struct {
-	Part identifier.Part
+	Key
 	Verdict
-	// RetryAfter is when a request with the part may be sent again.
+	// RetryAfter is when a request with the key may be sent again.
 	RetryAfter time.Duration
+	// Hold is how long the request may be held, because it may soon be sent after all; 0 if
+	// it may not.
+	Hold time.Duration
 }
 
 // Pass is the permission to send a request. It must be ended when the request ends.
 type Pass struct {
 	quarantiner *Quarantiner
-	parts       []identifier.Part
-	tests       []identifier.Part
+	keys        []Key
+	tests       []Key
+	// claimed holds the keys that the request is sent for alone.
+	claimed []Key
 }
 
-// Admit returns a pass for a request with the given parts, or the reason why it may not
+// Admit returns a pass for a request with the given keys, or the reason why it may not
 // be sent.
-func (q *Quarantiner) Admit(now time.Time, parts []identifier.Part) (*Pass, *Refusal) {
+func (q *Quarantiner) Admit(now time.Time, keys []Key) (*Pass, *Refusal) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	pass, refusal, news := q.admit(now, keys)
+	q.mu.Unlock()
+	if news && q.OnNews != nil {
+		q.OnNews()
+	}
+	return pass, refusal
+}
+
+// admit also reports whether there is a new claim.
+func (q *Quarantiner) admit(now time.Time, keys []Key) (*Pass, *Refusal, bool) {
 	p := &Pass{
 		quarantiner: q,
-		parts:       parts,
+		keys:        keys,
 	}
 	if len(q.records) == 0 {
-		return p, nil
+		return p, nil, false
 	}
-	suspects, v := q.suspects(now, parts)
-	if len(suspects) == 0 {
-		return p, nil
+	suspects, v := q.suspects(now, keys)
+	if len(suspects) > 0 && !q.mayTest(now, suspects, v) {
+		return nil, refusal(now, suspects[0], v), false
 	}
-	if !q.mayTest(now, suspects, v) {
-		return nil, refusal(now, suspects[0], v)
+	for _, key := range keys {
+		refusal, news := q.claim(now, p, key)
+		if refusal != nil {
+			return nil, refusal, news
+		}
 	}
 	if q.tests == nil {
-		q.tests = make(map[identifier.Part]time.Time)
+		q.tests = make(map[Key]time.Time)
 	}
 	for _, part := range suspects {
 		q.tests[part] = now
 	}
 	p.tests = suspects
-	return p, nil
+	return p, nil, false
 }
 
 // suspects returns those of the parts that are suspected or condemned, and the verdict
 // that applies to a request with all of them: that on the first, with the latest time of
 // a test. An answer to a request with several suspected parts clears all, but a crash does
 // not tell them apart, so that such a request is tested late.
-func (q *Quarantiner) suspects(now time.Time, parts []identifier.Part) ([]identifier.Part, Verdict) {
+func (q *Quarantiner) suspects(now time.Time, keys []Key) ([]Key, Verdict) {
 	verdicts := q.judge(now)
-	var out []identifier.Part
-	for _, part := range parts {
-		if _, ok := verdicts[part]; ok && !slices.Contains(out, part) {
+	var out []Key
+	for _, part := range keys {
+		if _, ok := verdicts[part]; ok && part.Scope == SharedPart && !slices.Contains(out, part) {
 			out = append(out, part)
 		}
 	}
 	if len(out) == 0 {
 		return nil, Verdict{}
 	}
-	slices.SortFunc(out, func(a, b identifier.Part) int {
-		return cmp.Or(cmp.Compare(verdicts[b].Crashes, verdicts[a].Crashes), cmp.Compare(a, b))
+	slices.SortFunc(out, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(verdicts[b].Crashes, verdicts[a].Crashes), CompareKeys(a, b))
 	})
 	v := verdicts[out[0]]
-	if len(out) > 1 || q.explained(now, parts) {
+	if len(out) > 1 || q.explained(now, keys) {
 		for _, part := range out {
 			v.TestAt = latest(v.TestAt, verdicts[part].testTogether())
 		}
@@ -131,11 +158,11 @@
 
 // explained reports whether one of the parts would be suspected if another one did not
 // explain its crashes. A crash of a test with it would not tell the two apart.
-func (q *Quarantiner) explained(now time.Time, parts []identifier.Part) bool {
-	return slices.ContainsFunc(parts, func(part identifier.Part) bool {
+func (q *Quarantiner) explained(now time.Time, keys []Key) bool {
+	return slices.ContainsFunc(keys, func(part Key) bool {
 		r, ok := q.records[part]
 		_, judged := q.verdicts[part]
-		return ok && !judged && len(r.counted(now)) >= suspectedCrashes
+		return ok && part.Scope == SharedPart && !judged && len(r.counted(now)) >= suspectedCrashes
 	})
 }
 
@@ -154,36 +181,43 @@
 	if len(q.records) == 0 {
 		return nil
 	}
-	suspects, v := q.suspects(now, p.parts)
+	suspects, v := q.suspects(now, p.keys)
 	for _, part := range suspects {
 		if !slices.Contains(p.tests, part) {
 			return refusal(now, part, v)
 		}
 	}
+	for _, key := range p.keys {
+		if refusal := q.checkClaim(now, p, key); refusal != nil {
+			return refusal
+		}
+	}
 	return nil
 }
 
 // End ends the pass.
 func (p *Pass) End() {
-	p.quarantiner.mu.Lock()
-	defer p.quarantiner.mu.Unlock()
+	q := p.quarantiner
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	for _, part := range p.tests {
-		delete(p.quarantiner.tests, part)
+		delete(q.tests, part)
 	}
 	p.tests = nil
+	q.endClaims(p)
 }
 
-func refusal(now time.Time, part identifier.Part, v Verdict) *Refusal {
+func refusal(now time.Time, key Key, v Verdict) *Refusal {
 	return &Refusal{
-		Part:       part,
+		Key:        key,
 		Verdict:    v,
-		RetryAfter: max(v.TestAt.Sub(now), suspectedRetryAfter),
+		RetryAfter: min(max(v.TestAt.Sub(now), suspectedRetryAfter), maxRetryAfter),
 	}
 }
 
 // mayTest reports whether this instance may now send one request with the suspects. Of
 // all live instances, one tests a part.
-func (q *Quarantiner) mayTest(now time.Time, suspects []identifier.Part, v Verdict) bool {
+func (q *Quarantiner) mayTest(now time.Time, suspects []Key, v Verdict) bool {
 	if now.Before(v.TestAt) {
 		return false
 	}
@@ -192,46 +226,46 @@
 			return false
 		}
 	}
-	tester, _ := assigner.Owner(identifier.Service(suspects[0]), q.Live())
+	tester, _ := assigner.Owner(identifier.Service(suspects[0].Name), q.Live())
 	return tester == q.Self
 }
 
 // RecordCrash records that an endpoint crashed while it began to answer a request with
-// the given parts.
-func (q *Quarantiner) RecordCrash(now time.Time, incarnation identifier.EndpointIncarnation, parts []identifier.Part) {
+// the given keys.
+func (q *Quarantiner) RecordCrash(now time.Time, incarnation identifier.EndpointIncarnation, keys []Key) {
 	q.mu.Lock()
 	news := false
-	for _, part := range parts {
-		r := q.record(now, part)
+	for _, key := range keys {
+		r := q.record(now, key)
 		if r == nil || !r.addCrash(incarnation, now) {
 			continue
 		}
 		r.changedAt = now
-		q.reportAnswer(now, part, r)
+		q.reportAnswer(now, key, r)
 		news = true
 	}
 	q.mu.Unlock()
 	q.announce(news)
 }
 
-// RecordAnswer records that a request with the given parts was answered.
-func (q *Quarantiner) RecordAnswer(now time.Time, parts []identifier.Part) {
+// RecordAnswer records that a request with the given keys was answered.
+func (q *Quarantiner) RecordAnswer(now time.Time, keys []Key) {
 	q.mu.Lock()
 	news := false
-	for _, part := range parts {
-		q.answers.add(now, part)
-		if r, ok := q.records[part]; ok {
-			news = q.reportAnswer(now, part, r) || news
+	for _, key := range keys {
+		q.answers.add(now, key)
+		if r, ok := q.records[key]; ok {
+			news = q.reportAnswer(now, key, r) || news
 		}
 	}
 	q.mu.Unlock()
 	q.announce(news)
 }
 
-// reportAnswer adds the last answer under a part to its record, unless the record has a
+// reportAnswer adds the last answer under a key to its record, unless the record has a
 // recent one. It returns whether it did.
-func (q *Quarantiner) reportAnswer(now time.Time, part identifier.Part, r *record) bool {
-	at, ok := q.answers.last(part)
+func (q *Quarantiner) reportAnswer(now time.Time, key Key, r *record) bool {
+	at, ok := q.answers.last(key)
 	if !ok || (r.answered.id != 0 && at.Sub(r.answered.at) < answerRefresh) {
 		return false
 	}
@@ -243,11 +277,11 @@
 	return true
 }
 
-// Release makes the crashes so far count no longer against a part. It reports whether
-// the part is known.
-func (q *Quarantiner) Release(now time.Time, part identifier.Part) bool {
+// Release makes the crashes so far count no longer against a key. It reports whether
+// the key is known.
+func (q *Quarantiner) Release(now time.Time, key Key) bool {
 	q.mu.Lock()
-	r, ok := q.records[part]
+	r, ok := q.records[key]
 	if ok {
 		r.released = event{
 			id: rand.Uint64() | 1,
@@ -260,51 +294,71 @@
 	return ok
 }
 
-// Verdicts returns the verdicts on all parts that are suspected or condemned.
-func (q *Quarantiner) Verdicts(now time.Time) map[identifier.Part]Verdict {
+// Verdicts returns the verdicts on all keys that are suspected or condemned.
+func (q *Quarantiner) Verdicts(now time.Time) map[Key]Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return maps.Clone(q.judge(now))
 }
 
-// Count returns how many parts are condemned or, if condemned is not set, suspected.
-func (q *Quarantiner) Count(now time.Time, condemned bool) int {
+// Count returns how many keys of a scope are condemned or, if condemned is not set,
+// suspected.
+func (q *Quarantiner) Count(now time.Time, scope Scope, condemned bool) int {
 	n := 0
-	for _, v := range q.Verdicts(now) {
-		if v.Condemned == condemned {
+	for key, v := range q.Verdicts(now) {
+		if key.Scope == scope && v.Condemned == condemned {
 			n++
 		}
 	}
 	return n
 }
 
-// record returns the record of a part, which it creates if needed; nil if no more parts
+// Lost returns how many crashes of endpoints were counted so far against whole requests
+// that are suspected or condemned.
+func (q *Quarantiner) Lost() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lost
+}
+
+// record returns the record of a key, which it creates if needed; nil if no more keys
 // can be known.
-func (q *Quarantiner) record(now time.Time, part identifier.Part) *record {
-	if r, ok := q.records[part]; ok {
+func (q *Quarantiner) record(now time.Time, key Key) *record {
+	if r, ok := q.records[key]; ok {
 		return r
 	}
 	if q.records == nil {
-		q.records = make(map[identifier.Part]*record)
+		q.records = make(map[Key]*record)
 	}
 	if len(q.records) >= maxRecords {
 		q.evict(now)
 	}
 	if len(q.records) >= maxRecords {
-		q.Log.WithField("part", part).Warn("crash not recorded; too many parts are suspected")
+		q.Log.WithField("part", key).Warn("crash not recorded; too many parts are suspected")
 		return nil
 	}
-	r := &record{crashes: make(map[identifier.EndpointIncarnation]time.Time)}
-	q.records[part] = r
+	r := &record{
+		scope:   key.Scope,
+		crashes: make(map[identifier.EndpointIncarnation]time.Time),
+	}
+	q.records[key] = r
 	return r
 }
 
-// expire removes the parts whose last crash is too long ago.
+// retentionOf returns how long a key is known after its last crash.
+func retentionOf(s Scope) time.Duration {
+	if s == WholeRequest {
+		return requestRetention
+	}
+	return retention
+}
+
+// expire removes the keys whose last crash is too long ago.
 func (q *Quarantiner) expire(now time.Time) {
-	maps.DeleteFunc(q.records, func(_ identifier.Part, r *record) bool { return now.Sub(r.lastCrash()) > retention })
+	maps.DeleteFunc(q.records, func(key Key, r *record) bool { return now.Sub(r.lastCrash()) > retentionOf(key.Scope) })
 }
 
-// evict makes room for more parts. It removes those whose last crash is too long ago and,
+// evict makes room for more keys. It removes those whose last crash is too long ago and,
 // if these are too few, the ones that crashed least recently of those without a verdict.
 func (q *Quarantiner) evict(now time.Time) {
 	q.expire(now)
@@ -313,22 +367,21 @@
 		return
 	}
 	verdicts := q.judge(now)
-	var parts []identifier.Part
-	for part := range q.records {
-		if _, ok := verdicts[part]; !ok {
-			parts = append(parts, part)
+	var keys []Key
+	for key := range q.records {
+		if _, ok := verdicts[key]; !ok {
+			keys = append(keys, key)
 		}
 	}
-	slices.SortFunc(parts, func(a, b identifier.Part) int {
-		return q.records[a].lastCrash().Compare(q.records[b].lastCrash())
-	})
-	for _, part := range parts[:min(excess, len(parts))] {
-		delete(q.records, part)
+	q.sortByCrash(keys)
+	slices.Reverse(keys)
+	for _, key := range keys[:min(excess, len(keys))] {
+		delete(q.records, key)
 	}
 }
 
 // judge returns the verdicts, made within verdictAge, and logs new ones.
-func (q *Quarantiner) judge(now time.Time) map[identifier.Part]Verdict {
+func (q *Quarantiner) judge(now time.Time) map[Key]Verdict {
 	if age := now.Sub(q.judgedAt); q.verdicts != nil && age >= 0 && age < verdictAge {
 		return q.verdicts
 	}
@@ -336,31 +389,50 @@
 	old := q.verdicts
 	q.verdicts = judge(now, q.records)
 	q.judgedAt = now
-	for part, v := range q.verdicts {
-		if before, ok := old[part]; ok && before.Condemned == v.Condemned && before.Crashes == v.Crashes {
-			continue
+	for key, v := range q.verdicts {
+		before, ok := old[key]
+		if key.Scope == WholeRequest {
+			q.lost += max(v.Crashes-before.Crashes, 0)
 		}
-		entry := q.Log.WithFields(logrus.Fields{
-			"part":     part,
-			"crashes":  v.Crashes,
-			"last-ms":  now.Sub(v.LastCrash).Milliseconds(),
-			"test-ms":  v.TestAt.Sub(now).Milliseconds(),
-			"evidence": slices.Sorted(maps.Keys(endpointsOf(q.records[part]))),
-		})
-		if v.Condemned {
-			entry.Warn("part of prompts condemned for crashing endpoints")
-			continue
+		if !ok || before.Condemned != v.Condemned || before.Crashes != v.Crashes {
+			q.logVerdict(now, key, v)
 		}
-		entry.Warn("part of prompts suspected of crashing endpoints")
 	}
-	for part := range old {
-		if _, ok := q.verdicts[part]; !ok {
-			q.Log.WithField("part", part).Info("part of prompts cleared")
+	for key := range old {
+		if _, ok := q.verdicts[key]; !ok {
+			q.logCleared(key)
 		}
 	}
 	return q.verdicts
 }
 
+func (q *Quarantiner) logVerdict(now time.Time, key Key, v Verdict) {
+	entry := q.Log.WithFields(logrus.Fields{
+		"crashes":  v.Crashes,
+		"last-ms":  now.Sub(v.LastCrash).Milliseconds(),
+		"test-ms":  v.TestAt.Sub(now).Milliseconds(),
+		"evidence": slices.Sorted(maps.Keys(endpointsOf(q.records[key]))),
+	})
+	switch {
+	case key.Scope == WholeRequest && v.Condemned:
+		entry.WithField("fingerprint", key.Name).Warn("request condemned for crashing endpoints")
+	case key.Scope == WholeRequest:
+		entry.WithField("fingerprint", key.Name).Warn("request suspected of crashing endpoints")
+	case v.Condemned:
+		entry.WithField("part", key.Name).Warn("part of prompts condemned for crashing endpoints")
+	default:
+		entry.WithField("part", key.Name).Warn("part of prompts suspected of crashing endpoints")
+	}
+}
+
+func (q *Quarantiner) logCleared(key Key) {
+	if key.Scope == WholeRequest {
+		q.Log.WithField("fingerprint", key.Name).Info("request cleared")
+		return
+	}
+	q.Log.WithField("part", key.Name).Info("part of prompts cleared")
+}
+
 func endpointsOf(r *record) map[identifier.Endpoint]bool {
 	out := make(map[identifier.Endpoint]bool)
 	for incarnation := range r.crashes {
--- a/router/quarantiner/quarantiner_test.go
+++ b/router/quarantiner/quarantiner_test.go
@@ -16,10 +16,12 @@
 	"heatherhold.dev/router/quarantiner"
 )
 
-const (
-	bad   = identifier.Part("bad")
-	first = identifier.Part("first")
+var (
+	bad   = quarantiner.PartKey("bad")
+	first = quarantiner.PartKey("first")
+)
 
+const (
 	// maxArrivals is how many requests with a part that crashes endpoints may reach
 	// endpoints: five, and three more.
 	maxArrivals = 5 + 3
@@ -79,7 +81,7 @@
 
 // send sends a request through an instance, which crashes an endpoint if one of its
 // parts is bad. It reports whether the request was sent.
-func (f *fleet) send(at identifier.Instance, parts ...identifier.Part) bool {
+func (f *fleet) send(at identifier.Instance, parts ...quarantiner.Key) bool {
 	q := f.instances[at]
 	pass, refusal := q.Admit(f.now, parts)
 	if refusal != nil {
@@ -97,11 +99,15 @@
 }
 
 // crash makes an endpoint crash while it begins to answer a request with parts.
-func (f *fleet) crash(at identifier.Instance, parts ...identifier.Part) {
+func (f *fleet) crash(at identifier.Instance, parts ...quarantiner.Key) {
 	f.crashes++
 	f.instances[at].RecordCrash(f.now, incarnation(f.crashes), parts)
 }
 
+func partKey(name string) quarantiner.Key {
+	return quarantiner.PartKey(identifier.Part(name))
+}
+
 func incarnation(n int) identifier.EndpointIncarnation {
 	return identifier.EndpointIncarnation{
 		Endpoint:    identifier.Endpoint(fmt.Sprintf("e%d", n)),
@@ -118,7 +124,7 @@
 		if f.send(f.names[i%9], first, bad) {
 			sent++
 		}
-		if !f.send(f.names[(i+4)%9], first, "good") {
+		if !f.send(f.names[(i+4)%9], first, partKey("good")) {
 			t.Errorf("round %d: a sound request was refused", i)
 		}
 		f.now = f.now.Add(200 * time.Millisecond)
@@ -140,7 +146,7 @@
 		sent, refused, sound := 0, 0, 0
 		for range rapid.IntRange(60, 160).Draw(t, "steps") {
 			at := instance.Draw(t, "instance")
-			part := identifier.Part(fmt.Sprintf("p%d", rapid.IntRange(0, 3).Draw(t, "part")))
+			part := partKey(fmt.Sprintf("p%d", rapid.IntRange(0, 3).Draw(t, "part")))
 			switch rapid.SampledFrom(steps).Draw(t, "step") {
 			case "bad":
 				if f.send(at, first, part, bad) {
@@ -152,8 +158,8 @@
 					refused++
 				}
 			case "bystander":
-				own := identifier.Part(fmt.Sprintf("own%d", f.crashes))
-				if pass, _ := f.instances[at].Admit(f.now, []identifier.Part{first, own}); pass != nil {
+				own := partKey(fmt.Sprintf("own%d", f.crashes))
+				if pass, _ := f.instances[at].Admit(f.now, []quarantiner.Key{first, own}); pass != nil {
 					f.crash(at, first, own)
 					pass.End()
 				}
@@ -186,7 +192,7 @@
 	for range 3 {
 		f.crash("i0", first, bad)
 	}
-	f.instances["i0"].RecordAnswer(f.now, []identifier.Part{first})
+	f.instances["i0"].RecordAnswer(f.now, []quarantiner.Key{first})
 	f.exchangeAll()
 	f.now = f.now.Add(time.Minute / 2)
 	f.restart("i1")
@@ -203,14 +209,14 @@
 // part that was answered before.
 func TestGroupOfEndpointsLost(t *testing.T) {
 	f := newFleet(3)
-	f.send("i1", first, "subject")
+	f.send("i1", first, partKey("subject"))
 	for i := range 7 {
-		f.crash("i0", first, "subject", identifier.Part(fmt.Sprintf("own%d", i)))
+		f.crash("i0", first, partKey("subject"), partKey(fmt.Sprintf("own%d", i)))
 	}
 	f.exchangeAll()
 	f.now = f.now.Add(settled)
 	for _, name := range f.names {
-		if !f.send(name, first, "subject") {
+		if !f.send(name, first, partKey("subject")) {
 			t.Errorf("%s: a sound request was refused", name)
 		}
 	}
@@ -221,12 +227,12 @@
 func TestCondemnedPartTestedAgain(t *testing.T) {
 	f := newFleet(5)
 	for range 3 {
-		f.crash("i0", "odd")
+		f.crash("i0", partKey("odd"))
 	}
 	f.exchangeAll()
 	f.now = f.now.Add(settled)
 	for _, name := range f.names {
-		if f.send(name, "odd") {
+		if f.send(name, partKey("odd")) {
 			t.Errorf("%s sent a request with the condemned part", name)
 		}
 	}
@@ -234,7 +240,7 @@
 	var passes []*quarantiner.Pass
 	for range 2 {
 		for _, name := range f.names {
-			if pass, _ := f.instances[name].Admit(f.now, []identifier.Part{"odd"}); pass != nil {
+			if pass, _ := f.instances[name].Admit(f.now, []quarantiner.Key{partKey("odd")}); pass != nil {
 				passes = append(passes, pass)
 			}
 		}
@@ -244,12 +250,12 @@
 	}
 	passes[0].End()
 	for _, name := range f.names {
-		if f.send(name, "odd") {
+		if f.send(name, partKey("odd")) {
 			f.exchangeAll()
 		}
 	}
 	for _, name := range f.names {
-		if !f.send(name, "odd") {
+		if !f.send(name, partKey("odd")) {
 			t.Errorf("%s refused a request with the part that was answered", name)
 		}
 	}
@@ -288,7 +294,7 @@
 // they were admitted before it.
 func TestPassOutdatedInQueue(t *testing.T) {
 	f := newFleet(1)
-	pass, refusal := f.instances["i0"].Admit(f.now, []identifier.Part{bad})
+	pass, refusal := f.instances["i0"].Admit(f.now, []quarantiner.Key{bad})
 	if refusal != nil {
 		t.Fatalf("got refusal %+v, want none", refusal)
 	}
@@ -310,7 +316,7 @@
 	}
 	f.now = f.now.Add(settled)
 	for i := range 10000 {
-		f.instances["i0"].RecordCrash(f.now, incarnation(i), []identifier.Part{identifier.Part(fmt.Sprintf("p%d", i))})
+		f.instances["i0"].RecordCrash(f.now, incarnation(i), []quarantiner.Key{partKey(fmt.Sprintf("p%d", i))})
 	}
 	if f.send("i0", bad) {
 		t.Error("the condemned part was pushed out")
--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -13,8 +13,10 @@
 
 const (
 	// answerWindow is how long before a crash an answer under a part still clears
-	// the part of it.
-	answerWindow = 30 * time.Second
+	// the part of it, and requestAnswerWindow the same for a whole request: copies of one that
+	// many callers send are answered more often than that.
+	answerWindow        = 30 * time.Second
+	requestAnswerWindow = 5 * time.Second
 	// SettleTime is the age from which a crash counts, because an answer that clears the
 	// part may still be on its way from another instance.
 	SettleTime = 400 * time.Millisecond
@@ -33,7 +35,10 @@
 	// crash, up to maxTestDelay.
 	testDelay    = time.Minute
 	maxTestDelay = time.Hour
-	// maxCrashes is how many crashes are kept for one part: the newest ones.
+	// requestTestDelay is how long after the last crash a condemned request is tested. Nobody
+	// misses one that crashed so many endpoints, and each test may cost another.
+	requestTestDelay = 12 * time.Hour
+	// maxCrashes is how many crashes are kept under one key: the newest ones.
 	maxCrashes = 16
 )
 
@@ -53,10 +58,11 @@
 	return e
 }
 
-// record is what is known of one part.
+// record is what is known under one key.
 type record struct {
+	scope Scope
 	// crashes holds the endpoints that crashed while they began to answer a request with
-	// the part, and when.
+	// the key, and when.
 	crashes  map[identifier.EndpointIncarnation]time.Time
 	answered event
 	released event
@@ -106,28 +112,43 @@
 	return oldest
 }
 
-// counted returns the crashes that count against the part at now.
-func (r *record) counted(now time.Time) crashSet {
+// answerWindow returns how long before a crash an answer still clears the key of it.
+func (r *record) answerWindow() time.Duration {
+	if r.scope == WholeRequest {
+		return requestAnswerWindow
+	}
+	return answerWindow
+}
+
+// uncleared returns the crashes of which neither an answer nor operators have cleared the key.
+func (r *record) uncleared() crashSet {
 	out := make(crashSet)
 	for incarnation, at := range r.crashes {
-		answered := r.answered.id != 0 && !r.answered.at.Before(at.Add(-answerWindow))
+		answered := r.answered.id != 0 && !r.answered.at.Before(at.Add(-r.answerWindow()))
 		released := r.released.id != 0 && !r.released.at.Before(at)
-		if !answered && !released && now.Sub(at) >= SettleTime {
+		if !answered && !released {
 			out[incarnation] = true
 		}
 	}
 	return out
 }
 
+// counted returns the crashes that count in a verdict at now.
+func (r *record) counted(now time.Time) crashSet {
+	out := r.uncleared()
+	maps.DeleteFunc(out, func(i identifier.EndpointIncarnation, _ bool) bool { return now.Sub(r.crashes[i]) < SettleTime })
+	return out
+}
+
 // digest returns a hash of the record.
-func (r *record) digest(part identifier.Part) uint64 {
+func (r *record) digest(key Key) uint64 {
 	d := xxhash.New()
 	write := func(s string) {
 		// Writing to a hash can't fail.
 		_, _ = d.WriteString(s)
 		_, _ = d.WriteString("\x00")
 	}
-	write(string(part))
+	write(key.String())
 	names := make([]string, 0, len(r.crashes))
 	for incarnation := range r.crashes {
 		names = append(names, incarnation.String())
@@ -144,14 +165,14 @@
 	return d.Sum64()
 }
 
-// Verdict is how requests with a part are treated.
+// Verdict is how requests with a key are treated.
 type Verdict struct {
 	// Condemned is set if they are refused; otherwise they are suspected and sent one
 	// at a time.
 	Condemned bool
-	// Crashes is how many endpoints crashed under the part.
+	// Crashes is how many endpoints crashed under the key.
 	Crashes int
-	// LastCrash is when the last of them crashed, and TestAt when the part may be
+	// LastCrash is when the last of them crashed, and TestAt when the key may be
 	// tested again.
 	LastCrash time.Time
 	TestAt    time.Time
@@ -170,17 +191,55 @@
 	return true
 }
 
-// judge returns the verdicts on the parts of records that are suspected or condemned. A crash counts against one part only: if a part is condemned, the
-// crashes under it don't count against the other parts of the same requests. A part is
-// only suspected while another part explains all of its crashes as well.
-func judge(now time.Time, records map[identifier.Part]*record) map[identifier.Part]Verdict {
-	counted := make(map[identifier.Part]crashSet)
-	for part, r := range records {
-		if crashes := r.counted(now); len(crashes) >= suspectedCrashes {
-			counted[part] = crashes
+// judge returns the verdicts on the keys of records that are suspected or condemned.
+func judge(now time.Time, records map[Key]*record) map[Key]Verdict {
+	verdicts := make(map[Key]Verdict)
+	counted := make(map[Key]crashSet)
+	var repeated []crashSet
+	for _, key := range slices.SortedFunc(maps.Keys(records), CompareKeys) {
+		crashes := records[key].counted(now)
+		switch {
+		case len(crashes) < suspectedCrashes:
+		case key.Scope == WholeRequest:
+			repeated = append(repeated, crashes)
+			verdicts[key] = newVerdict(records[key], len(crashes), len(crashes) >= condemnedCrashes)
+		default:
+			counted[key] = crashes
+		}
+	}
+	for part, crashes := range counted {
+		crashes.removeRepeats(repeated)
+		if len(crashes) < suspectedCrashes {
+			delete(counted, part)
 		}
 	}
-	verdicts := make(map[identifier.Part]Verdict)
+	judgeParts(records, counted, verdicts)
+	return verdicts
+}
+
+// removeRepeats leaves one crash of those under each request that crashed several endpoints:
+// the others say no more about a part of its prompt.
+func (c crashSet) removeRepeats(repeated []crashSet) {
+	for _, crashes := range repeated {
+		first := true
+		for _, incarnation := range slices.SortedFunc(maps.Keys(crashes), compareIncarnations) {
+			if c[incarnation] && !first {
+				delete(c, incarnation)
+			}
+			first = first && !c[incarnation]
+		}
+	}
+}
+
+func compareIncarnations(a, b identifier.EndpointIncarnation) int {
+	return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// judgeParts adds the verdicts on parts, given the crashes that count against each. A crash
+// counts against one part only: if a part is condemned, the crashes under it don't count
+// against the other parts of the same requests. A part is only suspected while another part
+// explains all of its crashes as well.
+func judgeParts(records map[Key]*record, counted map[Key]crashSet, verdicts map[Key]Verdict) {
 	for {
 		part, ok := nextCondemned(counted)
 		if !ok {
@@ -199,38 +258,41 @@
 	for part, crashes := range counted {
 		verdicts[part] = newVerdict(records[part], len(crashes), false)
 	}
-	return verdicts
 }
 
 // nextCondemned returns the part with the most crashes of those that are to be
 // condemned; false if there is none.
-func nextCondemned(counted map[identifier.Part]crashSet) (identifier.Part, bool) {
-	parts := slices.SortedFunc(maps.Keys(counted), func(a, b identifier.Part) int {
-		return cmp.Or(cmp.Compare(len(counted[b]), len(counted[a])), cmp.Compare(a, b))
+func nextCondemned(counted map[Key]crashSet) (Key, bool) {
+	parts := slices.SortedFunc(maps.Keys(counted), func(a, b Key) int {
+		return cmp.Or(cmp.Compare(len(counted[b]), len(counted[a])), CompareKeys(a, b))
 	})
 	for _, part := range parts {
 		if len(counted[part]) < condemnedCrashes {
 			break
 		}
-		explained := slices.ContainsFunc(parts, func(other identifier.Part) bool {
+		explained := slices.ContainsFunc(parts, func(other Key) bool {
 			return other != part && counted[part].within(counted[other])
 		})
 		if !explained {
 			return part, true
 		}
 	}
-	return "", false
+	return Key{}, false
 }
 
-// newVerdict returns the verdict on a part with the given number of crashes.
+// newVerdict returns the verdict on a key with the given number of crashes.
 func newVerdict(r *record, crashes int, condemned bool) Verdict {
 	v := Verdict{
 		Condemned: condemned,
 		Crashes:   crashes,
 		LastCrash: r.lastCrash(),
 	}
-	v.TestAt = v.LastCrash.Add(SettleTime)
-	if condemned {
+	switch {
+	case !condemned:
+		v.TestAt = v.LastCrash.Add(SettleTime)
+	case r.scope == WholeRequest:
+		v.TestAt = v.LastCrash.Add(requestTestDelay)
+	default:
 		v.TestAt = v.LastCrash.Add(condemnedDelay(crashes))
 	}
 	return v
--- a/router/receiver/receiver_test.go
+++ b/router/receiver/receiver_test.go
@@ -19,6 +19,7 @@
 	"heatherhold.dev/router/exchanger"
 	"heatherhold.dev/router/proxier"
 	"heatherhold.dev/router/publisher"
+	"heatherhold.dev/router/quarantiner"
 	"heatherhold.dev/router/receiver"
 	"heatherhold.dev/router/reporter"
 )
@@ -62,11 +63,12 @@
 		Codec:     codec{},
 		Log:       log,
 		Proxier: &proxier.Proxier{
-			Publisher: p,
-			Exchanger: &exchanger.Exchanger{},
-			Balancer:  &balancer.Balancer{},
-			Reporter:  reporter.New(nil),
-			Log:       log,
+			Publisher:   p,
+			Exchanger:   &exchanger.Exchanger{},
+			Balancer:    &balancer.Balancer{},
+			Reporter:    reporter.New(nil),
+			Quarantiner: &quarantiner.Quarantiner{Log: log},
+			Log:         log,
 		},
 	}, &logOutput
 }
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -240,8 +240,11 @@
 		p.Gauge(fmt.Sprintf(`heatherhold_news_age_seconds{table=%q}`, table), func() float64 { return sh.Age(table).Seconds() })
 		p.Gauge(fmt.Sprintf(`heatherhold_reads_store{table=%q}`, table), func() float64 { return boolValue(sh.Source(table) == "") })
 	}
-	p.Gauge(`heatherhold_quarantined_parts{verdict="suspected"}`, func() float64 { return float64(q.Count(time.Now(), false)) })
-	p.Gauge(`heatherhold_quarantined_parts{verdict="condemned"}`, func() float64 { return float64(q.Count(time.Now(), true)) })
+	p.Gauge(`heatherhold_quarantined_parts{verdict="suspected"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.SharedPart, false)) })
+	p.Gauge(`heatherhold_quarantined_parts{verdict="condemned"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.SharedPart, true)) })
+	p.Gauge(`heatherhold_quarantined_requests{verdict="suspected"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.WholeRequest, false)) })
+	p.Gauge(`heatherhold_quarantined_requests{verdict="condemned"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.WholeRequest, true)) })
+	p.Gauge(`heatherhold_endpoints_lost_to_requests_total`, func() float64 { return float64(q.Lost()) })
 	p.Gauge("heatherhold_paused_endpoints", func() float64 { return float64(len(x.Balancer.Paused(time.Now()))) })
 	p.Gauge("heatherhold_store_era", func() float64 { return float64(store.History().Era) })
 	p.Gauge("heatherhold_active_requests", func() float64 { return float64(r.Active()) })
