--- a/router/quarantiner/claim.go
+++ b/router/quarantiner/claim.go
@@ -15,7 +15,7 @@
 	claimDelay = 200 * time.Millisecond
 	// claimTimeout ends a claim whose request neither crashes an endpoint nor is answered.
 	claimTimeout = 2 * time.Second
-	// maxClaims limits the claims that are known.
+	// maxClaims limits the claims of others that are known, and those in one message.
 	maxClaims = maxSent
 )
 
@@ -155,8 +155,8 @@
 // claims set aside.
 func (q *Quarantiner) wireClaims(now time.Time) []*messenger.SuspectPart {
 	var out []*messenger.SuspectPart
-	for _, key := range slices.SortedFunc(maps.Keys(q.claims), CompareKeys) {
-		if c, ok := q.activeClaim(now, key); ok {
+	for key := range q.claims {
+		if c, ok := q.activeClaim(now, key); ok && len(out) < maxClaims {
 			out = append(out, &messenger.SuspectPart{
 				Part:     claimPrefix + key.String(),
 				Released: c.wire(now),
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -43,8 +43,9 @@
 	// maxRetryAfter the longest one.
 	suspectedRetryAfter = time.Second
 	maxRetryAfter       = time.Hour
-	// answerRefresh is how often an answer under a known key is reported anew.
-	answerRefresh = answerWindow / 3
+	// answerRefreshes is how often within the window of an answer a further one under a known
+	// key is reported anew.
+	answerRefreshes = 3
 )
 
 // Quarantiner holds what is known of keys. Set the exported fields before the first
@@ -266,7 +267,7 @@
 // recent one. It returns whether it did.
 func (q *Quarantiner) reportAnswer(now time.Time, key Key, r *record) bool {
 	at, ok := q.answers.last(key)
-	if !ok || (r.answered.id != 0 && at.Sub(r.answered.at) < answerRefresh) {
+	if !ok || (r.answered.id != 0 && at.Sub(r.answered.at) < r.answerWindow()/answerRefreshes) {
 		return false
 	}
 	r.answered = event{
--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -194,40 +194,46 @@
 // judge returns the verdicts on the keys of records that are suspected or condemned.
 func judge(now time.Time, records map[Key]*record) map[Key]Verdict {
 	verdicts := make(map[Key]Verdict)
-	counted := make(map[Key]crashSet)
-	var repeated []crashSet
-	for _, key := range slices.SortedFunc(maps.Keys(records), CompareKeys) {
-		crashes := records[key].counted(now)
+	requests := make(map[Key]crashSet)
+	parts := make(map[Key]crashSet)
+	for key, r := range records {
+		if len(r.crashes) < suspectedCrashes {
+			continue
+		}
+		crashes := r.counted(now)
 		switch {
 		case len(crashes) < suspectedCrashes:
 		case key.Scope == WholeRequest:
-			repeated = append(repeated, crashes)
-			verdicts[key] = newVerdict(records[key], len(crashes), len(crashes) >= condemnedCrashes)
+			requests[key] = crashes
+			verdicts[key] = newVerdict(r, len(crashes), len(crashes) >= condemnedCrashes)
 		default:
-			counted[key] = crashes
+			parts[key] = crashes
 		}
 	}
-	for part, crashes := range counted {
-		crashes.removeRepeats(repeated)
-		if len(crashes) < suspectedCrashes {
-			delete(counted, part)
+	for _, key := range slices.SortedFunc(maps.Keys(requests), CompareKeys) {
+		for part, crashes := range parts {
+			crashes.removeRepeats(requests[key])
+			if len(crashes) < suspectedCrashes {
+				delete(parts, part)
+			}
 		}
 	}
-	judgeParts(records, counted, verdicts)
+	judgeParts(records, parts, verdicts)
 	return verdicts
 }
 
-// removeRepeats leaves one crash of those under each request that crashed several endpoints:
-// the others say no more about a part of its prompt.
-func (c crashSet) removeRepeats(repeated []crashSet) {
-	for _, crashes := range repeated {
-		first := true
-		for _, incarnation := range slices.SortedFunc(maps.Keys(crashes), compareIncarnations) {
-			if c[incarnation] && !first {
-				delete(c, incarnation)
-			}
-			first = first && !c[incarnation]
+// removeRepeats leaves one crash of those under a request that crashed several endpoints: the
+// others say no more about a part of its prompt.
+func (c crashSet) removeRepeats(request crashSet) {
+	first := true
+	for _, incarnation := range slices.SortedFunc(maps.Keys(request), compareIncarnations) {
+		if !c[incarnation] {
+			continue
+		}
+		if !first {
+			delete(c, incarnation)
 		}
+		first = false
 	}
 }
 
