Tell the other instances when a claimed request has ended

Cause: the end of a claim without crash or answer was known to its own instance alone. Change: a claim's end is sent like the claim itself.

--- a/router/administrator/quarantine_test.go
+++ b/router/administrator/quarantine_test.go
@@ -31,6 +31,7 @@
 	}
 	for _, name := range []identifier.Endpoint{"a", "b", "c"} {
 		q.RecordCrash(time.Now().Add(-time.Second), identifier.EndpointIncarnation{Endpoint: name}, []quarantiner.Key{quarantiner.PartKey("bad")})
+		q.RecordCrash(time.Now().Add(-time.Second), identifier.EndpointIncarnation{Endpoint: "of-" + name}, []quarantiner.Key{quarantiner.RequestKey("f00d")})
 	}
 	for _, test := range []struct {
 		name, hash, key, method, path, body string
@@ -43,6 +44,8 @@
 		{"bad body", keyHash, "k", http.MethodPost, "/v1/quarantine/releases", "{", http.StatusBadRequest, "bad-request"},
 		{"unknown part", keyHash, "k", http.MethodPost, "/v1/quarantine/releases", `{"part":"x"}`, http.StatusNotFound, "not-found"},
 		{"release", keyHash, "k", http.MethodPost, "/v1/quarantine/releases", `{"part":"bad"}`, http.StatusOK, "bad"},
+		{"request in the list", keyHash, "k", http.MethodGet, "/v1/quarantine", "", http.StatusOK, `"part":"request:f00d","condemned":true,"crashes":3`},
+		{"release of a request", keyHash, "k", http.MethodPost, "/v1/quarantine/releases", `{"part":"request:f00d"}`, http.StatusOK, "f00d"},
 		{"list after it", keyHash, "k", http.MethodGet, "/v1/quarantine", "", http.StatusOK, `"parts":[]`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/router/quarantiner/claim.go
+++ b/router/quarantiner/claim.go
@@ -26,6 +26,8 @@
 	// own is set at the instance that claimed, and used once a request was sent for it.
 	own  bool
 	used bool
+	// ended is set once that request has ended.
+	ended bool
 }
 
 // claim claims a whole request for a pass, unless no endpoint crashed under it. It returns
@@ -91,7 +93,7 @@
 // activeClaim returns the claim that holds for a key. A crash ends those before it.
 func (q *Quarantiner) activeClaim(now time.Time, key Key) (*claim, bool) {
 	c, ok := q.claims[key]
-	if !ok || now.Sub(c.at) >= claimTimeout {
+	if !ok || c.ended || now.Sub(c.at) >= claimTimeout {
 		return nil, false
 	}
 	if r, ok := q.records[key]; ok && r.lastCrash().After(c.at) {
@@ -110,58 +112,74 @@
 		},
 		own: true,
 	}
-	q.addClaim(key, c)
+	q.claims[key] = c
 	return c
 }
 
-// addClaim adds a claim.
-func (q *Quarantiner) addClaim(key Key, c *claim) {
+// dropClaims drops the claims that have timed out.
+func (q *Quarantiner) dropClaims(now time.Time) {
 	if q.claims == nil {
 		q.claims = make(map[Key]*claim)
 	}
-	q.claims[key] = c
-}
-
-// dropClaims drops the claims that have ended.
-func (q *Quarantiner) dropClaims(now time.Time) {
 	maps.DeleteFunc(q.claims, func(_ Key, c *claim) bool { return now.Sub(c.at) >= claimTimeout })
 }
 
-// endClaims ends the claims of a pass.
-func (q *Quarantiner) endClaims(p *Pass) {
+// endClaims ends the claims of a pass and reports whether there are any.
+func (q *Quarantiner) endClaims(p *Pass) bool {
+	ended := false
 	for _, key := range p.claimed {
-		if c, ok := q.claims[key]; ok && c.own && c.used {
-			delete(q.claims, key)
+		if c, ok := q.claims[key]; ok && c.own && c.used && !c.ended {
+			c.ended = true
+			ended = true
 		}
 	}
 	p.claimed = nil
+	return ended
 }
 
 // mergeClaim merges a peer's report of a claim and reports whether it was news.
-func (q *Quarantiner) mergeClaim(now time.Time, key Key, m *messenger.PartEvent) bool {
+func (q *Quarantiner) mergeClaim(now time.Time, key Key, m *messenger.SuspectPart) bool {
 	q.dropClaims(now)
-	other := mergeEvent(now, event{}, m)
-	if key.Scope != WholeRequest || other.id == 0 || now.Sub(other.at) >= claimTimeout || len(q.claims) >= maxClaims {
+	other := &claim{
+		event: mergeEvent(now, event{}, m.GetReleased()),
+		ended: m.GetAnswered().GetId() != 0,
+	}
+	if key.Scope != WholeRequest || other.id == 0 || now.Sub(other.at) >= claimTimeout {
 		return false
 	}
-	if c, ok := q.activeClaim(now, key); ok && (c.used || c.id <= other.id) {
+	c, ok := q.claims[key]
+	if ok && c.id == other.id {
+		news := other.ended && !c.ended
+		c.ended = c.ended || other.ended
+		return news
+	}
+	if _, active := q.activeClaim(now, key); active && (c.used || c.id < other.id || other.ended) {
+		return false
+	}
+	if !ok && len(q.claims) >= maxClaims {
 		return false
 	}
-	q.addClaim(key, &claim{event: other})
+	q.claims[key] = other
 	return true
 }
 
 // wireClaims returns the claims as reports without crashes, which instances that know no
-// claims set aside.
+// claims set aside. A claim that has ended is reported as answered.
 func (q *Quarantiner) wireClaims(now time.Time) []*messenger.SuspectPart {
+	q.dropClaims(now)
 	var out []*messenger.SuspectPart
-	for key := range q.claims {
-		if c, ok := q.activeClaim(now, key); ok && len(out) < maxClaims {
-			out = append(out, &messenger.SuspectPart{
-				Part:     claimPrefix + key.String(),
-				Released: c.wire(now),
-			})
+	for key, c := range q.claims {
+		if len(out) >= maxClaims {
+			break
+		}
+		m := &messenger.SuspectPart{
+			Part:     claimPrefix + key.String(),
+			Released: c.wire(now),
+		}
+		if c.ended {
+			m.Answered = c.wire(now)
 		}
+		out = append(out, m)
 	}
 	return out
 }
--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -94,7 +94,7 @@
 		return false
 	}
 	if claimed, ok := strings.CutPrefix(text, claimPrefix); ok {
-		return q.mergeClaim(now, ParseKey(claimed), p.GetReleased())
+		return q.mergeClaim(now, ParseKey(claimed), p)
 	}
 	key := ParseKey(text)
 	kept := retentionOf(key.Scope)
--- a/router/quarantiner/keeper_test.go
+++ b/router/quarantiner/keeper_test.go
@@ -82,6 +82,7 @@
 		run(func(f *fleet) {
 			for range 5 {
 				f.crash("i0", bad)
+				f.crash("i1", deadly)
 			}
 			f.exchangeAll()
 			time.Sleep(3 * time.Second)
@@ -94,6 +95,9 @@
 				if f.send(name, bad) {
 					t.Errorf("%s sent a request with the condemned part after the restart", name)
 				}
+				if f.send(name, deadly) {
+					t.Errorf("%s sent the condemned request after the restart", name)
+				}
 			}
 		})
 	})
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -200,12 +200,15 @@
 func (p *Pass) End() {
 	q := p.quarantiner
 	q.mu.Lock()
-	defer q.mu.Unlock()
 	for _, part := range p.tests {
 		delete(q.tests, part)
 	}
 	p.tests = nil
-	q.endClaims(p)
+	news := q.endClaims(p)
+	q.mu.Unlock()
+	if news && q.OnNews != nil {
+		q.OnNews()
+	}
 }
 
 // Leave ends the pass, but keeps its claims until they time out: what became of the request
--- a/router/quarantiner/request_test.go
+++ b/router/quarantiner/request_test.go
@@ -173,6 +173,41 @@
 	}
 }
 
+// TestClaimKeptAfterItsRequest guards against refusing a sound request that ran beside a
+// crash because the copy that another instance had claimed it for was given up.
+func TestClaimKeptAfterItsRequest(t *testing.T) {
+	sound := requestKey("sound")
+	f := newFleet(9)
+	f.crash("i3", sound)
+	f.exchangeAll()
+	first := f.awaitPass(t, "i3", sound)
+	f.exchangeAll()
+	if _, refusal := f.instances["i5"].Admit(f.now, []quarantiner.Key{sound}); refusal == nil {
+		t.Error("another instance may send the request meanwhile")
+	}
+	first.End()
+	f.exchangeAll()
+	f.awaitPass(t, "i5", sound).End()
+}
+
+// awaitPass returns the pass for a request at an instance, which holds it for less than half
+// of maxHold.
+func (f *fleet) awaitPass(t *testing.T, at identifier.Instance, key quarantiner.Key) *quarantiner.Pass {
+	t.Helper()
+	start := f.now
+	for {
+		pass, refusal := f.instances[at].Admit(f.now, []quarantiner.Key{key})
+		if refusal == nil {
+			return pass
+		}
+		if refusal.Hold <= 0 || f.now.Sub(start) > maxHold/2 {
+			t.Fatalf("%s: got refusal %+v after %v, want a pass", at, refusal, f.now.Sub(start))
+		}
+		f.now = f.now.Add(tick)
+		f.exchangeAll()
+	}
+}
+
 // TestPartCondemnedForOneRequest guards against condemning the parts of a prompt because one
 // request with them, and no other, crashes endpoints.
 func TestPartCondemnedForOneRequest(t *testing.T) {
