Look again at the endpoint of a run that its caller left

An endpoint that ends just after the caller of a run with no event left, or after its time was over, was never charged to the request: the connection is then ended by the router itself, and nothing was asked. The endpoint is now looked at half a second later, as after a lost connection.

TestEndpointEndedAfterCallerLeft: no request condemned after three crashes without the change, one with it. TestSoundRequestRefusedAfterSilence guards what holds already: silent endpoints that take connections are not charged to a request.

--- a/router/proxier/deadly_test.go
+++ b/router/proxier/deadly_test.go
@@ -19,6 +19,7 @@
 	"heatherhold.dev/core/courier"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/proxier"
+	"heatherhold.dev/router/quarantiner"
 )
 
 const (
@@ -189,3 +190,68 @@
 		t.Errorf("got %d endpoints ended under one request, want 1 to %d", got, maxLostToRequest)
 	}
 }
+
+// TestSoundRequestRefusedAfterSilence guards against refusing a request because endpoints fell
+// silent while they ran it, although they go on to take connections.
+func TestSoundRequestRefusedAfterSilence(t *testing.T) {
+	f := newFixture(cataloguer.AtMostOnce, true)
+	for _, name := range []string{"a", "b", "c"} {
+		silent := newEndpoint(t, name, func(_ int, w io.Writer) {
+			io.WriteString(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		})
+		f.tickets.chains = [][]identifier.Stage{{stage(silent, 0, 4)}}
+		f.orders.unresponsive = silent.Address
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return f.proxier.Watch(ctx) })
+		if err := serveBody(f, "sound"); err == nil {
+			t.Errorf("%s: got no error from a silent endpoint", name)
+		}
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	}
+	sound := newEndpoint(t, "d", streamEvents(2, true))
+	f.tickets.chains = [][]identifier.Stage{{stage(sound, 0, 4)}}
+	start := time.Now()
+	if err := serveBody(f, "sound"); err != nil {
+		t.Errorf("got error %v %v after three silent endpoints, want none", err, time.Since(start))
+	}
+	for key := range f.proxier.Quarantiner.Verdicts(time.Now().Add(time.Second)) {
+		t.Errorf("got a verdict on %s, want none", key)
+	}
+}
+
+// TestEndpointEndedAfterCallerLeft guards against forgetting the crash of an endpoint because
+// the caller left just before it.
+func TestEndpointEndedAfterCallerLeft(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	f := newFixture(cataloguer.Resumable, true)
+	watch, stopWatch := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return f.proxier.Watch(watch) })
+	for _, name := range []string{"a", "b", "c"} {
+		ctx, leave := context.WithCancel(context.Background())
+		var m *endpoint
+		m = newEndpoint(t, name, func(_ int, w io.Writer) {
+			io.WriteString(w, header)
+			time.Sleep(20 * time.Millisecond)
+			leave()
+			time.Sleep(20 * time.Millisecond)
+			m.stop()
+		})
+		f.tickets.chains = [][]identifier.Stage{{stage(m, 0, 4)}}
+		if _, _, err := f.serve(ctx, time.Second); err == nil {
+			t.Errorf("%s: got no error after the caller left", name)
+		}
+		time.Sleep(700 * time.Millisecond)
+	}
+	stopWatch()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	if got := f.proxier.Quarantiner.Count(time.Now().Add(time.Second), quarantiner.WholeRequest, true); got != 1 {
+		t.Errorf("got %d requests condemned after three crashes, want 1", got)
+	}
+}
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -118,11 +118,11 @@
 		q.RecordAnswer(time.Now(), s.keys)
 		return
 	}
-	if s.forwarded > 0 || !a.unanswered() || ctx.Err() != nil {
+	if s.forwarded > 0 || !a.unanswered() {
 		return
 	}
 	failed, crashed := s.proxier.crashed(ctx, a, err)
-	if !crashed {
+	if !crashed || ctx.Err() != nil {
 		if s.proxier.checkLater(err, a.chain()[0].EndpointIncarnation, a.chain()[0].Address, s.keys) {
 			pass.Leave()
 		}
@@ -142,7 +142,8 @@
 }
 
 // crashed returns the endpoint of the attempt's chain that ended, and whether there is one. A
-// lost connection alone does not show that: the endpoints are asked for a report.
+// lost connection alone does not show that: the endpoints are asked for a report, unless the
+// caller's time is over or the caller left, which ends the connection as well.
 func (x *Proxier) crashed(ctx context.Context, a *attempt, err error) (identifier.EndpointIncarnation, bool) {
 	var stage *stageError
 	if errors.As(err, &stage) {
@@ -151,6 +152,9 @@
 	if !errors.Is(err, exchanger.ErrLost) {
 		return identifier.EndpointIncarnation{}, false
 	}
+	if ctx.Err() != nil {
+		return identifier.EndpointIncarnation{}, false
+	}
 	for _, s := range a.chain() {
 		crashed := x.reports.crashed(s.EndpointIncarnation, func() bool {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -72,6 +72,9 @@
 type endpoint struct {
 	cataloguer.Endpoint
 
+	// stop makes the endpoint refuse further connections.
+	stop func()
+
 	mu       sync.Mutex
 	received []string
 	closed   chan struct{}
@@ -106,6 +109,7 @@
 		Service: "s",
 		Address: l.Addr().String(),
 	}
+	e.stop = func() { l.Close() }
 	acceptConns(t, l, serve)
 }
 
