--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -106,7 +106,7 @@
 	if s.proxier.budget(time.Now(), s.job.Service).Remaining() < 1 {
 		return nil, errNoRetryLeft
 	}
-	pass, err := s.admit()
+	pass, err := s.admit(search)
 	if err != nil {
 		return nil, err
 	}
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -88,8 +88,9 @@
 	MaxBufferedBytes int64
 	Log              logrus.FieldLogger
 
-	quota   byteQuota
-	reports crashReports
+	quota    byteQuota
+	reports  crashReports
+	lostRuns lostRuns
 
 	mu      sync.Mutex
 	budgets map[identifier.Service]*budget
@@ -108,6 +109,7 @@
 			proxier: x,
 			job:     j,
 			engine:  j.Engine,
+			keys:    keysOf(j),
 			w:       w,
 			timing:  timing{startedAt: time.Now()},
 		}
@@ -119,6 +121,7 @@
 	p := &plainRequest{
 		proxier: x,
 		job:     j,
+		keys:    keysOf(j),
 		w:       w,
 	}
 	err = p.run(ctx)
