Send a slow plain request to a second endpoint beside the first

What callers saw: a request that may be repeated got 502 at 0.4 of its time although its only endpoint would have answered, and nothing else was to be had.

Cause: the first run had a deadline of 0.4 of the time as soon as the route allowed another attempt, whether or not there was an endpoint or a retry for it.

Change: after that time a second run starts beside the first, if there is an endpoint and a retry at once; the first answer is passed on and ends the other. As many runs as before.

TestSlowAnswerWithoutAlternative failed in both cases and passes; TestSilentEndpointHoldsPlainRequest is new and passed before too. The other tests of the package pass unchanged.

--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
 
-	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/acquirer"
@@ -201,25 +200,24 @@
 	return x.Exchanger.Probe(ctx, address)
 }
 
-// recordEvidence records what a finished attempt says about the request. An endpoint that
+// recordEvidence records what a run that ended says about the request. An endpoint that
 // takes no connection after it lost one has ended.
-func (p *plainRequest) recordEvidence(ctx context.Context, pass *quarantiner.Pass, e cataloguer.Endpoint, err error) {
-	q := p.proxier.Quarantiner
-	if err == nil {
-		q.RecordAnswer(time.Now(), p.keys)
+func (p *plainRequest) recordEvidence(ctx context.Context, run *plainRun) {
+	x, e := p.proxier, run.endpoint
+	if run.err == nil {
+		x.Quarantiner.RecordAnswer(time.Now(), p.keys)
 		return
 	}
-	if p.cut || !errors.Is(err, exchanger.ErrLost) {
+	if run.cut || !errors.Is(run.err, exchanger.ErrLost) {
 		return
 	}
-	crashed := p.proxier.reports.crashed(e.EndpointIncarnation, func() bool { return p.proxier.dial(ctx, e.Address) != nil })
-	if !crashed {
-		if p.proxier.checkLater(err, e.EndpointIncarnation, e.Address, p.keys) {
-			pass.Leave()
-		}
+	if x.reports.crashed(e.EndpointIncarnation, func() bool { return x.dial(ctx, e.Address) != nil }) {
+		x.Quarantiner.RecordCrash(time.Now(), e.EndpointIncarnation, p.keys)
 		return
 	}
-	q.RecordCrash(time.Now(), e.EndpointIncarnation, p.keys)
+	if x.checkLater(run.err, e.EndpointIncarnation, e.Address, p.keys) {
+		run.pass.Leave()
+	}
 }
 
 // crashReports remembers for a short time which endpoints were asked whether they
--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -34,8 +34,6 @@
 	runs  int
 	avoid []identifier.EndpointIncarnation
 	sent  sentTo
-	// cut is set if the last attempt ended because its time was over or the caller left.
-	cut bool
 }
 
 // completeResponse is a response that has been read completely.
@@ -78,40 +76,50 @@
 }
 
 func (p *plainRequest) run(ctx context.Context) error {
+	r := newPlainRuns(ctx, p)
+	defer r.stop()
 	for {
-		pass, e, err := p.choose(ctx)
-		if err != nil {
-			return finalError(ctx, p.ran, err)
+		if r.running == 0 {
+			if err := r.start(ctx); err != nil {
+				return finalError(ctx, p.ran, err)
+			}
 		}
-		response, err := p.send(ctx, e)
-		p.proxier.Balancer.Done(time.Now(), e.EndpointIncarnation, outcome(ctx, response, err))
-		p.recordEvidence(ctx, pass, e, err)
-		pass.End()
-		if err == nil {
-			p.logServed(e, response)
-			return p.write(response)
+		done := r.await()
+		if done.err == nil {
+			r.cancel()
+			p.logServed(done.endpoint, done.response)
+			return p.write(done.response)
 		}
-		p.avoid = append(p.avoid, e.EndpointIncarnation)
-		retry := ctx.Err() == nil && p.mayRetry(err) && p.proxier.spendRetry(p.job.Service)
-		p.proxier.log(p.job).WithError(err).WithFields(logrus.Fields{
-			"endpoint":    e.Endpoint,
-			"runs":        p.runs,
-			"left-ms":     time.Until(p.job.Deadline).Milliseconds(),
-			"again":       retry,
-			"retries":     p.proxier.budget(time.Now(), p.job.Service).Remaining(),
-			"fingerprint": p.keys[0].Name,
-		}).Warn("attempt failed")
+		if r.running > 0 {
+			p.logFailure(done, false)
+			done.response.release()
+			continue
+		}
+		retry := ctx.Err() == nil && p.mayRetry(done.err) && p.proxier.spendRetry(p.job.Service)
+		p.logFailure(done, retry)
 		if retry {
-			response.release()
+			done.response.release()
 			continue
 		}
-		if response != nil && errors.Is(err, errFailed) {
-			return p.write(response)
+		if done.response != nil && errors.Is(done.err, errFailed) {
+			return p.write(done.response)
 		}
-		return finalError(ctx, p.ran, err)
+		return finalError(ctx, p.ran, done.err)
 	}
 }
 
+// logFailure logs a run that brought no answer that is passed on.
+func (p *plainRequest) logFailure(r *plainRun, retry bool) {
+	p.proxier.log(p.job).WithError(r.err).WithFields(logrus.Fields{
+		"endpoint":    r.endpoint.Endpoint,
+		"runs":        p.runs,
+		"left-ms":     time.Until(p.job.Deadline).Milliseconds(),
+		"again":       retry,
+		"retries":     p.proxier.budget(time.Now(), p.job.Service).Remaining(),
+		"fingerprint": p.keys[0].Name,
+	}).Warn("attempt failed")
+}
+
 // logServed logs a response that is passed on.
 func (p *plainRequest) logServed(e cataloguer.Endpoint, response *completeResponse) {
 	elapsed := time.Since(p.job.Request.Received)
@@ -199,42 +207,6 @@
 	return p.job.Route.Repetition.Repeatable() && p.runs < p.job.Route.Attempts
 }
 
-// attemptFraction is the fraction of the remaining time that an attempt may take
-// if another endpoint may be tried after it.
-const attemptFraction = 0.4
-
-func (p *plainRequest) send(ctx context.Context, e cataloguer.Endpoint) (*completeResponse, error) {
-	j := p.job
-	remaining := time.Until(j.Deadline)
-	if j.Route.Repetition.Repeatable() && p.runs+1 < j.Route.Attempts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(attemptFraction*float64(remaining)))
-		defer cancel()
-	}
-	defer func() { p.cut = ctx.Err() != nil }()
-	sentAt := time.Now()
-	response, err := p.proxier.Exchanger.Open(ctx, p.proxier.newRequest(j, e.Address, p.sent.add(e.Address), courier.RequestMetadata{
-		Endpoint:  e.Endpoint,
-		Customer:  j.Customer,
-		Remaining: remaining,
-		Order:     j.Order,
-	}))
-	if errors.Is(err, exchanger.ErrNotSent) {
-		p.proxier.Exchanger.CloseIdle(e.Address)
-		return nil, err
-	}
-	if err != nil {
-		p.ran = true
-		p.runs++
-		p.proxier.Exchanger.CloseIdle(e.Address)
-		return nil, err
-	}
-	info := p.proxier.Codec.ParseResponse(p.job.Request, response.Status, response.Header)
-	p.recordLimit(sentAt, e, info)
-	p.proxier.recordWishes(p.job, e.EndpointIncarnation, info)
-	return p.read(response, info)
-}
-
 // recordLimit records the limit that the endpoint names in its response.
 func (p *plainRequest) recordLimit(sentAt time.Time, e cataloguer.Endpoint, info courier.ResponseMetadata) {
 	if info.LimitError != nil {
@@ -275,40 +247,6 @@
 	return errors.Wrapf(errNotRun, "status %d", response.Status)
 }
 
-// read reads the whole response.
-func (p *plainRequest) read(response *exchanger.Response, info courier.ResponseMetadata) (*completeResponse, error) {
-	if info.NotRun && !unidentified(response, info) {
-		return nil, discardRefusal(response, info.IdleTimeout)
-	}
-	p.ran = true
-	p.runs++
-	if unidentified(response, info) {
-		response.Discard()
-		return nil, errors.Wrapf(errUnidentified, "status %d", response.Status)
-	}
-	if unsigned(response.Status, info) {
-		response.Discard()
-		return nil, errors.Wrapf(errUnsigned, "status %d", response.Status)
-	}
-	body := &body{proxier: p.proxier}
-	if err := body.readAll(response); err != nil {
-		response.Discard()
-		body.release()
-		return nil, errors.Wrap(exchanger.ErrLost, err.Error())
-	}
-	response.Close(info.IdleTimeout)
-	out := &completeResponse{
-		status: response.Status,
-		header: response.Header,
-		body:   body,
-		info:   info,
-	}
-	if response.Status >= http.StatusInternalServerError {
-		return out, errors.Wrapf(errFailed, "status %d", response.Status)
-	}
-	return out, nil
-}
-
 // outcome returns the result of an attempt for the balancer.
 func outcome(ctx context.Context, response *completeResponse, err error) balancer.Outcome {
 	switch {
--- a/router/proxier/silence_test.go
+++ b/router/proxier/silence_test.go
@@ -361,3 +361,20 @@
 		})
 	}
 }
+
+// TestSilentEndpointHoldsPlainRequest guards against a request that waits for a silent
+// endpoint while another one would answer.
+func TestSilentEndpointHoldsPlainRequest(t *testing.T) {
+	silent := newEndpoint(t, "silent", func(int, io.Writer) {})
+	other := newEndpoint(t, "other", reply(http.StatusOK, "", "done"))
+	f := newFixture(cataloguer.Idempotent, false, silent, other)
+	w, _, err := f.serve(context.Background(), time.Second)
+	if err != nil || w.Body.String() != "done" {
+		t.Errorf("got %q and error %v, want the answer", w.Body, err)
+	}
+	select {
+	case <-silent.closed:
+	case <-time.After(time.Second):
+		t.Error("the connection to the silent endpoint is still open")
+	}
+}
