Write whole rows of endpoints in the tests of planned stops

Since endpoints' rows are checked, a row without the version of the software, cold_left_ms or seq names no endpoint, and the stand-in endpoints of these tests were set aside: on TestRequestCutAtEndOfPlannedStop got 503 for all requests. The fixture writes the fields that each endpoint writes; no check changed. The four tests of planned stops and TestOddRowsStopRouter pass with -race.

--- a/router/storeharness_test.go
+++ b/router/storeharness_test.go
@@ -79,7 +79,7 @@
 	}))
 	s.t.Cleanup(server.Close)
 	s.t.Cleanup(server.CloseClientConnections)
-	s.store.Write("servers", name, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":1,"state":"ready","born":1,"kind":"k","layers":{"from":0,"to":8,"version":1}}`,
+	s.store.Write("servers", name, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":1,"state":"ready","cold_left_ms":0,"seq":1,"born":1,"kind":"k","layers":{"from":0,"to":8,"version":1}}`,
 		service, server.Listener.Addr()))
 }
 
