Close the listener of the tests' endpoints before the connection

TestPlainRequestSentOnAfterEndpointsEnded failed once beside load (5 endpoints ended, want at most 3): since its endpoints closed the connection first, so that the question that follows could find the listener still open, and the second look needs a watcher, which this test does not run. Endpoints without a delay close the listener first again, as when the test was written; TestEndpointsEndedAfterLostConnection has the other order, with a watcher.

--- a/router/proxier/deadly_test.go
+++ b/router/proxier/deadly_test.go
@@ -33,7 +33,7 @@
 // begins to run the deadly request.
 type mortal struct {
 	cataloguer.Endpoint
-	// delay is how long before its end it closes the connection.
+	// delay, if set, is how long before its end it closes the connection.
 	delay time.Duration
 	// ended is set once it has.
 	ended atomic.Bool
@@ -65,8 +65,10 @@
 		body, _ := io.ReadAll(r.Body)
 		if string(body) == deadlyBody {
 			io.WriteString(c, header)
-			c.Close()
-			time.Sleep(m.delay)
+			if m.delay > 0 {
+				c.Close()
+				time.Sleep(m.delay)
+			}
 			m.ended.Store(true)
 			l.Close()
 			return
