--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -46,6 +46,7 @@
 			return pass, nil
 		}
 		if refusal.Hold <= 0 || now.Sub(start) >= longest || ctx.Err() != nil {
+			x.Quarantiner.Withdraw(keys)
 			return nil, quarantined(refusal)
 		}
 		sleep(ctx, min(refusal.Hold, holdInterval))
--- a/router/proxier/silence_test.go
+++ b/router/proxier/silence_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -363,17 +364,26 @@
 }
 
 // TestSilentEndpointHoldsPlainRequest guards against a request that waits for a silent
-// endpoint while another one would answer.
+// endpoint while another one would answer, and against a run that goes on after the answer.
 func TestSilentEndpointHoldsPlainRequest(t *testing.T) {
-	silent := newEndpoint(t, "silent", func(int, io.Writer) {})
-	other := newEndpoint(t, "other", reply(http.StatusOK, "", "done"))
-	f := newFixture(cataloguer.Idempotent, false, silent, other)
+	var arrived atomic.Int32
+	serve := func(after int, w io.Writer) {
+		if arrived.Add(1) > 1 {
+			reply(http.StatusOK, "", "done")(after, w)
+		}
+	}
+	endpoints := []*endpoint{newEndpoint(t, "a", serve), newEndpoint(t, "b", serve)}
+	f := newFixture(cataloguer.Idempotent, false, endpoints...)
 	w, _, err := f.serve(context.Background(), time.Second)
 	if err != nil || w.Body.String() != "done" {
 		t.Errorf("got %q and error %v, want the answer", w.Body, err)
 	}
+	if got, want := arrived.Load(), int32(2); got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
 	select {
-	case <-silent.closed:
+	case <-endpoints[0].closed:
+	case <-endpoints[1].closed:
 	case <-time.After(time.Second):
 		t.Error("the connection to the silent endpoint is still open")
 	}
