Send a claim as long as it holds, and know it for twice as long

Cause: one claim was kept a key, so that two instances with different ended claims told each other news again and again; and a claim that had timed out at one instance was news again from another that had heard of it later. Change: all claims of a key are kept by id, each is news when it begins and when it ends, is sent for the 2 s that it may hold and known for 4 s. The lowest id still holds.

--- a/router/quarantiner/claim.go
+++ b/router/quarantiner/claim.go
@@ -1,7 +1,6 @@
 package quarantiner
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -14,8 +13,13 @@
 	// so that a claim of another instance has arrived.
 	claimDelay = 200 * time.Millisecond
 	// claimTimeout ends a claim whose request neither crashes an endpoint nor is answered.
+	// Until then it is sent to others.
 	claimTimeout = 2 * time.Second
-	// maxClaims limits the claims of others that are known, and those in one message.
+	// claimRetention is how long a claim is known, so that a late report of it is no news.
+	claimRetention = 2 * claimTimeout
+	// maxClaimsOfKey limits the claims of others of one key.
+	maxClaimsOfKey = 32
+	// maxClaims limits the keys with claims of others that are known, and those in one message.
 	maxClaims = maxSent
 )
 
@@ -90,16 +94,31 @@
 	}
 }
 
-// activeClaim returns the claim that holds for a key. A crash ends those before it.
+// activeClaim returns the claim that holds for a key: the one for which this instance has sent
+// a request, or the one with the lowest id.
 func (q *Quarantiner) activeClaim(now time.Time, key Key) (*claim, bool) {
-	c, ok := q.claims[key]
-	if !ok || c.ended || now.Sub(c.at) >= claimTimeout {
-		return nil, false
+	var holds *claim
+	for _, c := range q.claims[key] {
+		if !q.active(now, key, c) {
+			continue
+		}
+		if c.used {
+			return c, true
+		}
+		if holds == nil || c.id < holds.id {
+			holds = c
+		}
 	}
-	if r, ok := q.records[key]; ok && r.lastCrash().After(c.at) {
-		return nil, false
+	return holds, holds != nil
+}
+
+// active reports whether a claim has neither ended nor timed out. A crash ends those before it.
+func (q *Quarantiner) active(now time.Time, key Key, c *claim) bool {
+	if c.ended || now.Sub(c.at) >= claimTimeout {
+		return false
 	}
-	return c, true
+	r, ok := q.records[key]
+	return !ok || !r.lastCrash().After(c.at)
 }
 
 // newClaim claims a key for this instance.
@@ -112,28 +131,39 @@
 		},
 		own: true,
 	}
-	q.claims[key] = c
+	q.addClaim(key, c)
 	return c
 }
 
-// dropClaims drops the claims that have timed out.
-func (q *Quarantiner) dropClaims(now time.Time) {
+// addClaim adds a claim.
+func (q *Quarantiner) addClaim(key Key, c *claim) {
 	if q.claims == nil {
-		q.claims = make(map[Key]*claim)
+		q.claims = make(map[Key][]*claim)
 	}
-	maps.DeleteFunc(q.claims, func(_ Key, c *claim) bool { return now.Sub(c.at) >= claimTimeout })
+	q.claims[key] = append(q.claims[key], c)
 }
 
-// endClaims ends the claims of a pass and reports whether there are any.
-func (q *Quarantiner) endClaims(p *Pass) bool {
+// dropClaims drops the claims that are too old.
+func (q *Quarantiner) dropClaims(now time.Time) {
+	for key, claims := range q.claims {
+		claims = slices.DeleteFunc(claims, func(c *claim) bool { return now.Sub(c.at) >= claimRetention })
+		q.claims[key] = claims
+		if len(claims) == 0 {
+			delete(q.claims, key)
+		}
+	}
+}
+
+// endClaims ends this instance's claims of a key for which a request was sent or, if used is
+// not set, was not. It reports whether there are any.
+func (q *Quarantiner) endClaims(key Key, used bool) bool {
 	ended := false
-	for _, key := range p.claimed {
-		if c, ok := q.claims[key]; ok && c.own && c.used && !c.ended {
+	for _, c := range q.claims[key] {
+		if c.own && c.used == used && !c.ended {
 			c.ended = true
 			ended = true
 		}
 	}
-	p.claimed = nil
 	return ended
 }
 
@@ -147,39 +177,42 @@
 	if key.Scope != WholeRequest || other.id == 0 || now.Sub(other.at) >= claimTimeout {
 		return false
 	}
-	c, ok := q.claims[key]
-	if ok && c.id == other.id {
-		news := other.ended && !c.ended
-		c.ended = c.ended || other.ended
-		return news
-	}
-	if _, active := q.activeClaim(now, key); active && (c.used || c.id < other.id || other.ended) {
-		return false
+	for _, c := range q.claims[key] {
+		if c.id == other.id {
+			news := other.ended && !c.ended
+			c.ended = c.ended || other.ended
+			return news
+		}
 	}
-	if !ok && len(q.claims) >= maxClaims {
+	if len(q.claims) >= maxClaims || len(q.claims[key]) >= maxClaimsOfKey {
 		return false
 	}
-	q.claims[key] = other
+	q.addClaim(key, other)
 	return true
 }
 
 // wireClaims returns the claims as reports without crashes, which instances that know no
 // claims set aside. A claim that has ended is reported as answered.
 func (q *Quarantiner) wireClaims(now time.Time) []*messenger.SuspectPart {
-	q.dropClaims(now)
 	var out []*messenger.SuspectPart
-	for key, c := range q.claims {
-		if len(out) >= maxClaims {
-			break
+	for key, claims := range q.claims {
+		for _, c := range claims {
+			if len(out) < maxClaims && now.Sub(c.at) < claimTimeout {
+				out = append(out, c.wire(now, key))
+			}
 		}
-		m := &messenger.SuspectPart{
-			Part:     claimPrefix + key.String(),
-			Released: c.wire(now),
-		}
-		if c.ended {
-			m.Answered = c.wire(now)
-		}
-		out = append(out, m)
 	}
 	return out
 }
+
+// wire returns the claim as a message.
+func (c *claim) wire(now time.Time, key Key) *messenger.SuspectPart {
+	m := &messenger.SuspectPart{
+		Part:     claimPrefix + key.String(),
+		Released: c.event.wire(now),
+	}
+	if c.ended {
+		m.Answered = c.event.wire(now)
+	}
+	return m
+}
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -62,7 +62,7 @@
 	records  map[Key]*record
 	answers  recentAnswers
 	tests    map[Key]time.Time
-	claims   map[Key]*claim
+	claims   map[Key][]*claim
 	complete bool
 	verdicts map[Key]Verdict
 	judgedAt time.Time
@@ -204,7 +204,11 @@
 		delete(q.tests, part)
 	}
 	p.tests = nil
-	news := q.endClaims(p)
+	news := false
+	for _, key := range p.claimed {
+		news = q.endClaims(key, true) || news
+	}
+	p.claimed = nil
 	q.mu.Unlock()
 	if news && q.OnNews != nil {
 		q.OnNews()
@@ -216,10 +220,7 @@
 	q.mu.Lock()
 	news := false
 	for _, key := range keys {
-		if c, ok := q.claims[key]; ok && c.own && !c.used && !c.ended {
-			c.ended = true
-			news = true
-		}
+		news = q.endClaims(key, false) || news
 	}
 	q.mu.Unlock()
 	if news && q.OnNews != nil {
--- a/router/quarantiner/request_test.go
+++ b/router/quarantiner/request_test.go
@@ -206,6 +206,48 @@
 	f.awaitPass(t, "i5", sound).End()
 }
 
+// TestClaimsExchangedForEver guards against claims that instances go on to tell each other as
+// news: each exchange is late, and causes the next one.
+func TestClaimsExchangedForEver(t *testing.T) {
+	sound := requestKey("sound")
+	f := newFleet(9)
+	f.crash("i3", sound)
+	f.exchangeAll()
+	for round := range 5 {
+		for i, name := range f.names {
+			f.instances[name].Admit(f.now, []quarantiner.Key{sound})
+			if (i+round)%2 == 0 {
+				f.instances[name].Withdraw([]quarantiner.Key{sound})
+			}
+		}
+	}
+	news := 0
+	for _, q := range f.instances {
+		q.OnNews = func() { news++ }
+	}
+	const late = 50 * time.Millisecond
+	for range 100 {
+		for i, from := range f.names {
+			request := copyOf(f.instances[from].News(f.now))
+			f.instances[f.names[(i+4)%9]].Merge(f.now.Add(late), request)
+			f.instances[f.names[(i+1)%9]].Merge(f.now.Add(late), request)
+		}
+		f.now = f.now.Add(late)
+	}
+	// Each of the claims is news twice at most at each of the others.
+	if limit := 5 * 9 * 8 * 2; news > limit {
+		t.Errorf("got %d messages with news after 45 claims, want at most %d", news, limit)
+	}
+	news = 0
+	for range 20 {
+		f.exchangeAll()
+		f.now = f.now.Add(late)
+	}
+	if news > 0 {
+		t.Errorf("got %d messages with news later, want none", news)
+	}
+}
+
 // awaitPass returns the pass for a request at an instance, which holds it for less than half
 // of maxHold.
 func (f *fleet) awaitPass(t *testing.T, at identifier.Instance, key quarantiner.Key) *quarantiner.Pass {
