Count the endpoints of a plain request once in its log line

The list of avoided endpoints holds the present one since, so that the field tries of a request that was served was one too high. Read in the diff; no test looks at the field.

--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -126,7 +126,7 @@
 	log := p.proxier.log(p.job).WithFields(logrus.Fields{
 		"endpoint": e.Endpoint,
 		"status":   response.status,
-		"tries":    len(p.avoid) + 1,
+		"tries":    len(p.avoid),
 		"taken-ms": elapsed.Milliseconds(),
 	})
 	p.proxier.Reporter.RecordResponse(p.job.Service, elapsed)
