--- a/review/rig/callers.go
+++ b/review/rig/callers.go
@@ -22,6 +22,8 @@
 
 // result is one request of a client, which is one attempt.
 type result struct {
+	id     string
+	to     *machine
 	sent   time.Time
 	draft  bool
 	served bool
@@ -85,7 +87,7 @@
 	c.n++
 	id := fmt.Sprintf("%08x%08x", c.n, rand.Uint32())
 	c.mu.Unlock()
-	r := result{sent: time.Now(), draft: draft}
+	r := result{id: id, to: m, sent: time.Now(), draft: draft}
 	deadline := 20 * time.Second
 	path := "/draft/one/"
 	if !draft {
@@ -150,6 +152,18 @@
 	return lines.Err() == nil && events == 57, lines.Err()
 }
 
+// sentTo returns the machine to which a request was sent, and when.
+func (c *callers) sentTo(id string) (*machine, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.results {
+		if r.id == id {
+			return r.to, r.sent
+		}
+	}
+	return nil, time.Time{}
+}
+
 // served returns the numbers of served and of all requests sent in [from, to).
 func (c *callers) served(from, to time.Time) (served, all, drafts, draftsServed int) {
 	c.mu.Lock()
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -25,6 +25,8 @@
 	// net is the second number of the machines' addresses.
 	net int
 
+	runners []*runner
+
 	mu       sync.Mutex
 	n        int
 	machines []*machine
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -46,7 +47,7 @@
 "tenants":[{"name":"one","api_keys":["key-of-tenant-one"]}]}`
 
 // newFleet starts the store and the endpoints.
-func newFleet(root, dir string, log *record, g *sync.WaitGroup) (*fleet, error) {
+func newFleet(root, dir string, firstStages int, log *record, g *sync.WaitGroup) (*fleet, error) {
 	template, err := os.ReadFile(filepath.Join(root, "deploy", "settings.toml"))
 	if err != nil {
 		return nil, err
@@ -56,19 +57,22 @@
 		return nil, err
 	}
 	s.write(row{Table: "op", Key: "config", Value: []byte(configuration)})
+	var runners []*runner
 	for z, zone := range zones {
-		for stage := range 4 {
-			kind := "l40s"
+		// The first stage has firstStages holders in each zone.
+		for n := range 3 + firstStages {
+			stage, kind := max(n-firstStages+1, 0), "l40s"
 			if stage == 0 {
 				kind = "a100"
 			}
-			err := newRunner(g, &runner{
-				id: fmt.Sprintf("i-%d%d", z, stage), service: "word-llm", zone: zone, kind: kind,
+			r := &runner{
+				id: fmt.Sprintf("i-%d%d", z, n), service: "word-llm", zone: zone, kind: kind,
 				from: 20 * stage, to: 20 * (stage + 1), seq: 1, log: log, store: s,
-			})
-			if err != nil {
+			}
+			if err := newRunner(g, r); err != nil {
 				return nil, err
 			}
+			runners = append(runners, r)
 		}
 		if err := newRunner(g, &runner{id: fmt.Sprintf("i-%dp", z), service: "press-svc", zone: zone, log: log, store: s}); err != nil {
 			return nil, err
@@ -78,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{root: root, dir: dir, template: string(template), store: s, log: log, group: g, ports: p, net: 20 + rand.IntN(200)}, nil
+	return &fleet{root: root, dir: dir, template: string(template), store: s, log: log, group: g, ports: p, net: 20 + rand.IntN(200), runners: runners}, nil
 }
 
 func main() {
@@ -90,6 +94,18 @@
 	os.Exit(code)
 }
 
+// firstNumber returns the number before that of the first machine. The names of the machines decide
+// by hash which of them owns the pool and which read the store.
+func firstNumber() int {
+	if n, err := strconv.Atoi(os.Getenv("FIRST")); err == nil {
+		return n
+	}
+	if os.Args[1] == "readers" {
+		return firstOfReaders
+	}
+	return 0
+}
+
 func run() (code int, err error) {
 	if len(os.Args) != 4 {
 		return 2, fmt.Errorf("usage: review-rig CASE ROOT RECORD")
@@ -110,7 +126,14 @@
 	}
 	log := &record{start: time.Now(), file: file}
 	var g sync.WaitGroup
-	f, err := newFleet(os.Args[2], dir, log, &g)
+	firstStages := 1
+	switch os.Args[1] {
+	case "stale":
+		firstStages = 1 + rounds
+	case "readers":
+		firstStages = 1 + darkRounds*leavePerZone
+	}
+	f, err := newFleet(os.Args[2], dir, firstStages, log, &g)
 	if err != nil {
 		return 2, err
 	}
@@ -126,7 +149,8 @@
 		os.Exit(2)
 	})
 	c := &callers{fleet: f, log: log, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
-	play := map[string]func(context.Context, *fleet, *callers) (int, error){"replaced": replaced}[os.Args[1]]
+	f.n = firstNumber()
+	play := map[string]func(context.Context, *fleet, *callers) (int, error){"replaced": replaced, "stale": stale, "readers": readers}[os.Args[1]]
 	if play == nil {
 		return 2, fmt.Errorf("no case %q", os.Args[1])
 	}
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -23,9 +23,15 @@
 	log     *record
 	store   *store
 
+	listener net.Listener
+
 	mu       sync.Mutex
 	from, to int
 	seq      int64
+	// leftAt is when the store acknowledged that the entry is gone; requests holds when each
+	// request reached the runner.
+	leftAt   time.Time
+	requests map[string]time.Time
 	running  atomic.Int64
 }
 
@@ -40,22 +46,51 @@
 	if err != nil {
 		return err
 	}
+	r.listener = l
+	r.requests = make(map[string]time.Time)
 	r.address = l.Addr().String()
 	r.born = time.Now().UnixMilli()
 	r.beat()
 	g.Go(func() { _ = http.Serve(l, r) })
 	g.Go(func() {
 		for range time.Tick(heartbeat) {
-			r.beat()
+			if !r.beat() {
+				return
+			}
 		}
 	})
 	return nil
 }
 
-// beat writes the runner's entry.
-func (r *runner) beat() {
+// leave removes the runner's entry, without a report that it is draining. It goes on serving.
+func (r *runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.store.write(row{Table: "servers", Key: r.id, Deleted: true})
+	r.leftAt = time.Now()
+	r.log.add("the entry of %s is gone: acked by the store", r.id)
+}
+
+// late returns the requests that reached the runner later than limit after its entry was gone.
+func (r *runner) late(limit time.Duration) map[string]time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]time.Duration)
+	for id, at := range r.requests {
+		if !r.leftAt.IsZero() && at.Sub(r.leftAt) > limit {
+			out[id] = at.Sub(r.leftAt)
+		}
+	}
+	return out
+}
+
+// beat writes the runner's entry, unless it has left.
+func (r *runner) beat() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.leftAt.IsZero() {
+		return false
+	}
 	v := map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 192,
 		"state": "ready", "cold_left_ms": 0, "seq": r.seq, "born": r.born,
@@ -68,6 +103,7 @@
 	}
 	data, _ := json.Marshal(v)
 	r.store.write(row{Table: "servers", Key: r.id, Value: data})
+	return true
 }
 
 // ServeHTTP answers one request.
@@ -106,6 +142,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	r.mu.Lock()
+	r.requests[id] = time.Now()
+	r.mu.Unlock()
 	r.log.add("run %s at %s path %s", id, r.id, q.Header.Get("X-Hop-Count"))
 	r.stream(w, q)
 }
