--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,5 @@
 # platform's store, the endpoints, the load balancer and the callers.
 set -euo pipefail
 cd "$(dirname "$0")"
+mkdir -p ../target
 GOWORK=off go build -o ../target/review-rig ./rig
