Check the chain of a ticket against this instance's own list of endpoints

Cause: an entry used the chain of a ticket as it was, though its own list no longer had the endpoint.

Change: a grant states the position of the list on which the owner decided. An entry whose list is as new and lacks an endpoint, or has it as leaving, gives the ticket back, tells the owner and asks again; a stream is not moved over such an endpoint either. The owner drops what it is told unless its own list is newer. Departures are bounded in number and time.

Why it works: of two lists the one with the later position is right, and the check is the last step before the first byte. It does not matter why the owner's list is old.

--- a/core/cataloguer/change.go
+++ b/core/cataloguer/change.go
@@ -1,6 +1,10 @@
 package cataloguer
 
-import "time"
+import (
+	"time"
+
+	"heatherhold.dev/core/identifier"
+)
 
 // Change is an update to the contents of a table of the platform.
 type Change[T any] struct {
@@ -15,6 +19,9 @@
 	// Removed holds the keys of the rows that were removed. A row whose key is also
 	// in Set was written again later.
 	Removed []string
+	// Position is the point in the history of the platform's store up to which the change is
+	// complete; zero if it is not known.
+	Position identifier.Position
 	// RequestedAt is when the request for the change was sent: the change includes all
 	// writes that were acknowledged by then.
 	RequestedAt time.Time
--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
@@ -68,6 +69,10 @@
 // Ticket is the right to use a chain until it is released.
 type Ticket struct {
 	Chain []identifier.Stage
+	// Owner is the instance that granted the ticket, and List the position of the list of
+	// endpoints on which it decided; zero if it is not known.
+	Owner identifier.Instance
+	List  identifier.Position
 	// Revoked is cancelled when the owner revokes the ticket because more urgent
 	// work needs the chain, and when the ticket is released.
 	Revoked context.Context
@@ -182,6 +187,16 @@
 
 // Release returns the ticket to the pool's owner.
 func (t *Ticket) Release(o Outcome) {
+	t.release(o, nil)
+}
+
+// GiveBack returns the ticket to the pool's owner, unused, because endpoints of its chain have
+// left the list, which the owner learns by this.
+func (t *Ticket) GiveBack(departures []cataloguer.Departure) {
+	t.release(Outcome{}, departures)
+}
+
+func (t *Ticket) release(o Outcome, departures []cataloguer.Departure) {
 	t.revoke()
 	if t.pool == nil {
 		return
@@ -190,6 +205,7 @@
 	delete(t.pool.tickets, identifier.Request(t.ask.GetRequest()))
 	t.pool.mu.Unlock()
 	t.pool.out.Add(func(m *messenger.ToOwner) {
+		m.AddDepartures(time.Now(), departures)
 		m.Releases = append(m.Releases, &messenger.Release{
 			Request:           t.ask.GetRequest(),
 			Tokens:            int64(o.Tokens),
@@ -286,7 +302,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, g := range m.GetGrants() {
-		p.grant(g)
+		p.grant(g, m.GetList().Position())
 	}
 	for _, r := range m.GetRefusals() {
 		p.refuse(r)
@@ -298,7 +314,8 @@
 	}
 }
 
-func (p *pool) grant(g *messenger.Grant) {
+// grant passes on a ticket; list is the position of the list on which the owner decided.
+func (p *pool) grant(g *messenger.Grant, list identifier.Position) {
 	request := identifier.Request(g.GetRequest())
 	w, ok := p.waiting[request]
 	if !ok {
@@ -306,6 +323,8 @@
 	}
 	delete(p.waiting, request)
 	t := NewTicket(w.ask, granter.ChainOf(g.GetChain()))
+	t.Owner = p.owner
+	t.List = list
 	t.pool = p
 	p.tickets[request] = t
 	w.result <- result{ticket: t}
--- a/router/controller/returned.go
+++ b/router/controller/returned.go
@@ -4,21 +4,15 @@
 	"time"
 
 	"heatherhold.dev/core/cataloguer"
-	"heatherhold.dev/core/identifier"
 )
 
-const (
-	// departedRetention is how long it is remembered that an endpoint left.
-	departedRetention = 2 * time.Minute
-	// holdTime is how long an entry that came back with an older copy of the store is not
-	// used. By then the platform has removed it, unless its endpoint is alive.
-	holdTime = 10 * time.Second
-)
+// holdTime is how long an entry that came back with an older copy of the store is not
+// used. By then the platform has removed it, unless its endpoint is alive.
+const holdTime = 10 * time.Second
 
 // returnedEntries tells the entries of endpoints that had left and that only an older copy
 // of the platform's store brought back. The zero value is usable.
 type returnedEntries struct {
-	departed map[identifier.EndpointIncarnation]time.Time
 	// held has the entries that are not used, by key.
 	held map[string]heldEntry
 }
@@ -29,22 +23,11 @@
 	until    time.Time
 }
 
-// left records that an endpoint left the list.
-func (r *returnedEntries) left(now time.Time, e identifier.EndpointIncarnation) {
-	if r.departed == nil {
-		r.departed = make(map[identifier.EndpointIncarnation]time.Time)
-	}
-	for other, at := range r.departed {
-		if now.Sub(at) > departedRetention {
-			delete(r.departed, other)
-		}
-	}
-	r.departed[e] = now
-}
-
 // hold moves the entries that are not to be used out of a change, and those that have been
-// held for long enough into it. It returns the keys of those that are held from now on.
-func (r *returnedEntries) hold(now time.Time, change *cataloguer.Change[cataloguer.Endpoint]) []string {
+// held for long enough into it. It also takes out the entries of endpoints that are known to
+// have left later than the change was read. It returns the keys of those that are held from
+// now on.
+func (r *returnedEntries) hold(now time.Time, left *departures, change *cataloguer.Change[cataloguer.Endpoint]) []string {
 	for _, key := range change.Removed {
 		delete(r.held, key)
 	}
@@ -55,12 +38,14 @@
 	}
 	var added []string
 	for key, e := range change.Set {
-		_, left := r.departed[e.EndpointIncarnation]
+		departed, hasLeft := left.byIncarnation[e.EndpointIncarnation]
 		_, held := r.held[key]
 		switch {
+		case hasLeft && change.Position.Before(departed.position):
+			delete(change.Set, key)
 		case held && change.Complete:
 			delete(change.Set, key)
-		case left && change.Restored:
+		case hasLeft && change.Restored:
 			if r.held == nil {
 				r.held = make(map[string]heldEntry)
 			}
@@ -73,7 +58,7 @@
 		default:
 			// The endpoint has written its entry again.
 			delete(r.held, key)
-			delete(r.departed, e.EndpointIncarnation)
+			delete(left.byIncarnation, e.EndpointIncarnation)
 		}
 	}
 	for key, h := range r.held {
@@ -92,7 +77,7 @@
 // holdReturned keeps entries of endpoints that had left out of a change of a restored
 // store.
 func (c *Controller) holdReturned(now time.Time, change *cataloguer.Change[cataloguer.Endpoint]) {
-	for _, key := range c.fleet.returned.hold(now, change) {
+	for _, key := range c.fleet.returned.hold(now, &c.fleet.departures, change) {
 		c.Log.WithField("endpoint", key).Info("endpoint that had left is back with an older copy of the store; not used until it writes its entry again")
 	}
 }
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -66,7 +66,13 @@
 	retainedUntil map[string]time.Time
 	// lastFailure is when a request to the platform last failed.
 	lastFailure time.Time
-	returned    returnedEntries
+	// position is the point in the list's history up to which it was read, and
+	// retainedSince the last one at which all entries were still in the list, while any is
+	// retained.
+	position      identifier.Position
+	retainedSince identifier.Position
+	departures    departures
+	returned      returnedEntries
 	// beyond has the names of the endpoints that are left out because their entries name
 	// layers that the model does not have.
 	beyond map[string]bool
@@ -161,6 +167,10 @@
 		f.lastFailure = now
 	}
 	c.holdReturned(now, &change)
+	before := f.position
+	if f.position.Before(change.Position) {
+		f.position = change.Position
+	}
 	gone := change.Removed
 	if change.Complete {
 		for name := range f.endpoints {
@@ -174,12 +184,10 @@
 			continue
 		}
 		if now.Sub(f.lastFailure) < outageWindow {
-			if _, ok := f.retainedUntil[name]; !ok {
-				f.retainedUntil[name] = f.lastFailure.Add(c.Source.RetainAfterOutage)
-			}
+			c.retain(name, before)
 			continue
 		}
-		c.removeEndpoint(now, name, "left the list")
+		c.removeEndpoint(now, name, "left the list", true)
 	}
 	for name, e := range change.Set {
 		delete(f.retainedUntil, name)
@@ -194,11 +202,33 @@
 	for name, until := range f.retainedUntil {
 		if now.After(until) {
 			delete(f.retainedUntil, name)
-			c.removeEndpoint(now, name, "did not come back to the list after an outage")
+			c.removeEndpoint(now, name, "did not come back to the list after an outage", false)
 		}
 	}
 }
 
+// retain keeps an endpoint whose entry is not in the list any more but was at the position
+// before.
+func (c *Controller) retain(name string, before identifier.Position) {
+	f := &c.fleet
+	if _, ok := f.retainedUntil[name]; ok {
+		return
+	}
+	if len(f.retainedUntil) == 0 {
+		f.retainedSince = before
+	}
+	f.retainedUntil[name] = f.lastFailure.Add(c.Source.RetainAfterOutage)
+}
+
+// listed returns the position in the list's history at which all endpoints that are treated
+// as listed were in it.
+func (f *fleet) listed() identifier.Position {
+	if len(f.retainedUntil) > 0 {
+		return f.retainedSince
+	}
+	return f.position
+}
+
 // recordEndpointChange logs the difference between an endpoint's old and new
 // entry, and marks the endpoint if it has begun to leave.
 func (c *Controller) recordEndpointChange(e, old cataloguer.Endpoint, existed bool) {
@@ -214,8 +244,19 @@
 	}
 }
 
-func (c *Controller) removeEndpoint(now time.Time, name, reason string) {
-	c.fleet.returned.left(now, c.fleet.endpoints[name].EndpointIncarnation)
+// removeEndpoint removes an endpoint that is not in the list any more. certain is set if its
+// entry was taken out of the list, and did not just fail to come back after an outage.
+func (c *Controller) removeEndpoint(now time.Time, name, reason string, certain bool) {
+	c.fleet.departures.add(now, c.fleet.endpoints[name].EndpointIncarnation, departure{
+		position:  c.fleet.position,
+		learnedAt: now,
+		certain:   certain,
+	})
+	c.dropEndpoint(name, reason)
+}
+
+// dropEndpoint removes an endpoint.
+func (c *Controller) dropEndpoint(name, reason string) {
 	delete(c.fleet.endpoints, name)
 	delete(c.fleet.beyond, name)
 	c.publishedChangeCount = 0
--- a/router/controller/view.go
+++ b/router/controller/view.go
@@ -23,6 +23,8 @@
 	if !c.state.Self.GetGone() {
 		c.Publisher.Confirm(c.state.ConfirmedUntil())
 	}
+	// The view is published before its position: it must not be older.
+	defer c.Publisher.SetList(c.fleet.listed())
 	live := c.state.Live()
 	if c.state.ChangeCount() == c.publishedChangeCount && slices.Equal(live, c.publishedLive) {
 		return
@@ -40,6 +42,7 @@
 		Endpoints:   c.endpoints(),
 		Site:        c.site,
 		Fleet:       c.fleetByService(),
+		Departures:  c.fleet.departures.certain(),
 	})
 }
 
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/batcher"
@@ -55,6 +56,9 @@
 	// MarkLeaving is called on the control loop when an endpoint reports that it is
 	// leaving.
 	MarkLeaving func(identifier.EndpointIncarnation)
+	// LearnDepartures, if it is set, is called on the control loop with the endpoints that an
+	// entry knows to have left the list.
+	LearnDepartures func(from identifier.Instance, departures []cataloguer.Departure)
 	// Estimate, if it is set, returns the capacities of the endpoints of a view. It
 	// replaces polling each endpoint for its state.
 	Estimate func(v *publisher.View, k Key) []scheduler.Report
@@ -92,7 +96,9 @@
 // Session is one open stream of an entry, local or remote, to a pool.
 type Session struct {
 	pool *pool
-	out  *batcher.Batch[*messenger.FromOwner]
+	// entry is the instance at the other end, as its first message names it.
+	entry identifier.Instance
+	out   *batcher.Batch[*messenger.FromOwner]
 }
 
 // Run makes scheduling decisions and polls endpoints until ctx ends.
@@ -199,6 +205,7 @@
 		// what is granted.
 		return
 	}
+	g.learnDepartures(now, session, m)
 	g.refresh(p)
 	for _, l := range m.GetLimits() {
 		if err := p.setLimit(now, l, g.Publisher.View().Instances()); err != nil {
@@ -233,6 +240,22 @@
 	}
 }
 
+// learnDepartures passes on which endpoints an entry knows to have left the list.
+func (g *Granter) learnDepartures(now time.Time, session *Session, m *messenger.ToOwner) {
+	if m.GetInstance() != "" {
+		session.entry = identifier.Instance(m.GetInstance())
+	}
+	if len(m.GetDepartures()) == 0 || g.LearnDepartures == nil {
+		return
+	}
+	departures, err := messenger.ReadDepartures(now, m.GetDepartures())
+	if err != nil {
+		g.Log.WithError(err).WithField("peer", session.entry).Warn("departures reported by an instance set aside")
+		return
+	}
+	g.LearnDepartures(session.entry, departures)
+}
+
 // setLimit applies an endpoint's limit. A pool that an entry schedules alone gets the
 // share of one of n instances.
 func (p *pool) setLimit(now time.Time, l *messenger.EndpointLimit, n int) error {
@@ -306,7 +329,7 @@
 		}
 		m, ok := batches[session]
 		if !ok {
-			m = &messenger.FromOwner{}
+			m = &messenger.FromOwner{List: messenger.PositionOf(g.Publisher.List())}
 			batches[session] = m
 		}
 		addDecision(m, d, p.revision())
--- a/router/granter/serve.go
+++ b/router/granter/serve.go
@@ -86,7 +86,7 @@
 
 // isHeartbeat reports whether m contains nothing that the owner has to handle.
 func isHeartbeat(m *messenger.ToOwner) bool {
-	return len(m.GetAsks())+len(m.GetCancels())+len(m.GetReleases())+len(m.GetHeld())+len(m.GetLimits()) == 0
+	return len(m.GetAsks())+len(m.GetCancels())+len(m.GetReleases())+len(m.GetHeld())+len(m.GetLimits())+len(m.GetDepartures()) == 0
 }
 
 // heartbeatsPerLease is how many heartbeats are sent per lease while there is
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -198,6 +198,8 @@
 	chains [][]identifier.Stage
 	// freeAt is when the chains after the first one are free.
 	freeAt time.Time
+	// list is the position of the list on which the owner decides.
+	list identifier.Position
 	// reuseLast grants the last chain if all are to be avoided.
 	reuseLast bool
 	mu        sync.Mutex
@@ -216,15 +218,21 @@
 			return slices.ContainsFunc(ask.GetAvoid(), func(m *messenger.Mark) bool { return m.GetEndpoint() == string(s.Endpoint) })
 		})
 		if !avoid {
-			return acquirer.NewTicket(ask, chain), nil
+			return x.ticket(ask, chain), nil
 		}
 	}
 	if x.reuseLast {
-		return acquirer.NewTicket(ask, x.chains[len(x.chains)-1]), nil
+		return x.ticket(ask, x.chains[len(x.chains)-1]), nil
 	}
 	return nil, classifier.New(classifier.Overloaded, "no chain available")
 }
 
+func (x *tickets) ticket(ask *messenger.Ask, chain []identifier.Stage) *acquirer.Ticket {
+	t := acquirer.NewTicket(ask, chain)
+	t.List = x.list
+	return t
+}
+
 // orders is a fake proxier.Orderer: every endpoint but the unresponsive one responds
 // with a report.
 type orders struct {
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -65,13 +65,12 @@
 // join the chain.
 func (a *attempt) tryReroute(ctx context.Context, avoid []identifier.EndpointIncarnation) (identifier.EndpointIncarnation, error) {
 	x := a.stream.proxier
-	ask := a.stream.newAsk()
-	ask.Resumed = true
-	ask.Moves = a.ticketRequest()
-	for _, incarnation := range avoid {
-		ask.Avoid = append(ask.Avoid, markOf(incarnation))
-	}
-	ticket, err := x.Tickets.Acquire(ctx, a.stream.job.Service, ask)
+	ticket, err := a.stream.acquireListed(ctx, avoid, a.chain(), func() *messenger.Ask {
+		ask := a.stream.newAsk()
+		ask.Resumed = true
+		ask.Moves = a.ticketRequest()
+		return ask
+	})
 	if err != nil {
 		return identifier.EndpointIncarnation{}, err
 	}
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -237,11 +237,7 @@
 // endpoint that wants no requests. It may be called while the stream runs.
 func (s *stream) acquireUnpaused(ctx context.Context, avoid ...identifier.EndpointIncarnation) (*acquirer.Ticket, error) {
 	for n := 1; ; n++ {
-		ask := s.newAsk()
-		for _, incarnation := range avoid {
-			ask.Avoid = append(ask.Avoid, markOf(incarnation))
-		}
-		ticket, err := s.proxier.Tickets.Acquire(ctx, s.job.Service, ask)
+		ticket, err := s.acquireListed(ctx, avoid, nil, s.newAsk)
 		if err != nil {
 			return nil, err
 		}
--- a/router/publisher/publisher.go
+++ b/router/publisher/publisher.go
@@ -42,6 +42,55 @@
 	// Fleet lists, for each service of such a platform, every listed endpoint,
 	// including those that are leaving.
 	Fleet map[identifier.Service][]cataloguer.Endpoint
+	// Departures lists the endpoints that are known to have left the platform's list
+	// lately, the latest first.
+	Departures []cataloguer.Departure
+
+	// listings and departed index Fleet and Departures; Publish makes them.
+	listings map[identifier.EndpointIncarnation]Listing
+	departed map[identifier.EndpointIncarnation]identifier.Position
+}
+
+// Listing is what an instance's list of endpoints says of one incarnation.
+type Listing int
+
+// The listings.
+const (
+	// Unlisted endpoints are not in the list: they have left, or are newer than it.
+	Unlisted Listing = iota
+	// Leaving endpoints get no new work.
+	Leaving
+	// Usable endpoints may get work.
+	Usable
+)
+
+// Listing returns what a published view's list says of an endpoint.
+func (v *View) Listing(e identifier.EndpointIncarnation) Listing {
+	return v.listings[e]
+}
+
+// Departed returns the position of a list without the endpoint; false if the endpoint is not
+// known to have left lately.
+func (v *View) Departed(e identifier.EndpointIncarnation) (identifier.Position, bool) {
+	at, ok := v.departed[e]
+	return at, ok
+}
+
+// index makes the indexes.
+func (v *View) index() {
+	v.listings = make(map[identifier.EndpointIncarnation]Listing, v.EndpointCount())
+	for _, list := range v.Fleet {
+		for i := range list {
+			v.listings[list[i].EndpointIncarnation] = Usable
+			if list[i].Leaving {
+				v.listings[list[i].EndpointIncarnation] = Leaving
+			}
+		}
+	}
+	v.departed = make(map[identifier.EndpointIncarnation]identifier.Position, len(v.Departures))
+	for _, d := range v.Departures {
+		v.departed[d.EndpointIncarnation] = d.At
+	}
 }
 
 // Instances returns the number of known instances, including this one and those that
@@ -104,6 +153,7 @@
 type Publisher struct {
 	view      atomic.Pointer[View]
 	confirmed atomic.Pointer[time.Time]
+	list      atomic.Pointer[identifier.Position]
 	stopping  atomic.Bool
 }
 
@@ -112,6 +162,7 @@
 	p := &Publisher{}
 	p.view.Store(&View{Index: authenticator.New(nil, "")})
 	p.confirmed.Store(&time.Time{})
+	p.list.Store(&identifier.Position{})
 	return p
 }
 
@@ -122,9 +173,22 @@
 
 // Publish makes v the current view.
 func (p *Publisher) Publish(v *View) {
+	v.index()
 	p.view.Store(v)
 }
 
+// List returns the position in the history of the platform's store up to which the list of
+// endpoints of the view, or of a newer one, is complete; zero if it is not known. Whoever
+// compares the two reads the position first.
+func (p *Publisher) List() identifier.Position {
+	return *p.list.Load()
+}
+
+// SetList sets the position of the list of endpoints, after the view has been published.
+func (p *Publisher) SetList(at identifier.Position) {
+	p.list.Store(&at)
+}
+
 // Confirmed reports whether, at the time now, the instance may make decisions based on
 // its view.
 func (p *Publisher) Confirmed(now time.Time) bool {
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -105,6 +105,12 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_moves_total{service=%q}`, s)).Inc()
 }
 
+// CountOutdatedTicket counts a ticket that was given back because the list of endpoints on which
+// the pool's owner decided was older than the entry's.
+func (r *Reporter) CountOutdatedTicket(s identifier.Service) {
+	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_outdated_tickets_total{service=%q}`, s)).Inc()
+}
+
 // RecordStoreCall records a call of the platform's store by its outcome and duration.
 func (r *Reporter) RecordStoreCall(name string, d time.Duration, err error) {
 	outcome := "ok"
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -296,6 +296,7 @@
 	q.OnNews = c.Push
 	x.OnLeaving = c.MarkLeaving
 	g.MarkLeaving = c.MarkLeavingOnLoop
+	g.LearnDepartures = c.LearnDepartures
 	g.Estimate = estimate
 }
 
