Tell instances that return which endpoints left while they were away

Change: departures that an instance is certain of, since its own calls did not fail, travel with exchanges for 30 s and with the first message to a pool's owner.

Why it works: others read the store all the while; in a real outage nobody is certain, so that nothing is told and the endpoints are kept as before.

--- a/core/messenger/departure.go
+++ b/core/messenger/departure.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// DeparturesOf returns the messages of the departures that were learned of since a time, at
+// most maxDepartures, with their ages at now. The departures are sorted, the latest first.
+func DeparturesOf(now, since time.Time, departures []cataloguer.Departure) []*Departure {
+	var out []*Departure
+	for _, d := range departures {
+		if d.LearnedAt.Before(since) || len(out) == maxDepartures {
+			break
+		}
+		out = append(out, departureOf(now, d))
+	}
+	return out
+}
+
 func departureOf(now time.Time, d cataloguer.Departure) *Departure {
 	return &Departure{
 		Endpoint: &Mark{
--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -356,15 +356,16 @@
 	return classifier.NoChain
 }
 
-// fillFirst fills the first message to a new owner with all waiting requests and
-// all tickets in use.
-func (p *pool) fillFirst(owner identifier.Instance, m *messenger.ToOwner) {
+// fillFirst fills the first message to a new owner with all waiting requests, all tickets in
+// use and the endpoints that are known to have left: an owner that was away may not know it.
+func (a *Acquirer) fillFirst(p *pool, owner identifier.Instance, m *messenger.ToOwner) {
 	// The messages queued for the old owner can be dropped: the asks are contained
 	// in the state below, and the new owner does not need the releases and cancels.
 	p.out.Drain()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.owner = owner
+	m.AddDepartures(time.Now(), a.Publisher.View().Departures)
 	for incarnation, l := range p.limits {
 		m.Limits = append(m.Limits, limitOf(incarnation, l.PerSecond))
 	}
--- a/router/acquirer/acquirer_test.go
+++ b/router/acquirer/acquirer_test.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
@@ -50,7 +51,7 @@
 }
 
 // serveOwner runs an owner until the test ends and returns its address.
-func serveOwner(t *testing.T, r *refusingOwner) string {
+func serveOwner(t *testing.T, r messenger.DRPCPeerServer) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -126,3 +127,49 @@
 		})
 	}
 }
+
+// listeningOwner is an owner that records the departures in each stream's first message.
+type listeningOwner struct {
+	messenger.DRPCPeerUnimplementedServer
+	first chan []*messenger.Departure
+}
+
+// Tickets receives until the stream ends.
+func (l *listeningOwner) Tickets(s messenger.DRPCPeer_TicketsStream) error {
+	m, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	l.first <- m.GetDepartures()
+	_, err = s.Recv()
+	return err
+}
+
+// TestOwnerNotToldOfDepartures guards against an owner that was away and grants endpoints which
+// left meanwhile, until the entries have given the tickets back one by one.
+func TestOwnerNotToldOfDepartures(t *testing.T) {
+	owner := &listeningOwner{first: make(chan []*messenger.Departure, 1)}
+	a := newEntry(t, serveOwner(t, owner))
+	v := *a.Publisher.View()
+	v.Departures = []cataloguer.Departure{{
+		EndpointIncarnation: identifier.EndpointIncarnation{
+			Endpoint:    "gone",
+			Incarnation: 3,
+		},
+		At:        identifier.Position{Version: 9},
+		LearnedAt: time.Now(),
+	}}
+	a.Publisher.Publish(&v)
+	run(t, func(ctx context.Context) error {
+		_, err := a.Acquire(ctx, "drafts", &messenger.Ask{Request: "r1.1"})
+		return err
+	})
+	select {
+	case got := <-owner.first:
+		if len(got) != 1 || got[0].GetEndpoint().GetEndpoint() != "gone" || got[0].GetPosition().GetVersion() != 9 {
+			t.Errorf("departures in the first message: got %v, want that of the entry's view", got)
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("the owner got no message")
+	}
+}
--- a/router/acquirer/stream.go
+++ b/router/acquirer/stream.go
@@ -93,7 +93,7 @@
 	}
 	defer stream.Close()
 	first := &messenger.ToOwner{}
-	p.fillFirst(a.Self, first)
+	a.fillFirst(p, a.Self, first)
 	stream.Send(first)
 	ticker := time.NewTicker(a.InactivityTimeout / heartbeatsPerLimit)
 	defer ticker.Stop()
@@ -175,7 +175,7 @@
 		Instance: string(a.Self),
 		Pool:     string(p.service),
 	}
-	p.fillFirst(owner, first)
+	a.fillFirst(p, owner, first)
 	if err := stream.Send(first); err != nil {
 		return errors.Wrap(err, "send")
 	}
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -257,6 +257,7 @@
 	if c.Quarantiner != nil {
 		request.Quarantine = c.Quarantiner.News(sentAt)
 	}
+	request.Departures = c.departuresToSend(sentAt)
 	reply, err := c.Dialer.Exchange(ctx, m.GetAddress(), request)
 	if c.OnExchange != nil {
 		c.OnExchange(err)
@@ -267,6 +268,7 @@
 	if c.Quarantiner != nil {
 		c.Quarantiner.Merge(time.Now(), reply.GetQuarantine())
 	}
+	c.learnReported(reply.GetReceiver(), reply.GetDepartures())
 	ownRevision, err := executor.Get(ctx, c.Loop, func() identifier.Revision {
 		c.update(func(now time.Time) { c.state.HandleReply(sentAt, now, reply) })
 		return c.state.Revision()
@@ -281,8 +283,12 @@
 		c.update(func(now time.Time) { reply = c.state.HandleRequest(now, r) })
 		return reply
 	})
+	now := time.Now()
+	if err == nil {
+		c.learnReported(r.GetSender(), r.GetDepartures())
+		reply.Departures = c.departuresToSend(now)
+	}
 	if err == nil && c.Quarantiner != nil {
-		now := time.Now()
 		c.Quarantiner.Merge(now, r.GetQuarantine())
 		reply.Quarantine = c.Quarantiner.Reply(now, r.GetQuarantine())
 	}
--- a/router/controller/departures.go
+++ b/router/controller/departures.go
@@ -7,11 +7,16 @@
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
 )
 
 const (
 	// departureRetention is how long it is remembered that an endpoint left.
 	departureRetention = 2 * time.Minute
+	// departureSendPeriod is how long after this instance or another learned of a departure it
+	// is sent in every exchange. It is longer than the cuts and pauses after which an instance
+	// is to learn what it missed.
+	departureSendPeriod = 30 * time.Second
 	// maxDepartures is how many departures are remembered. Of more, the oldest are dropped.
 	maxDepartures = 4096
 )
@@ -113,3 +118,22 @@
 	delete(f.retainedUntil, name)
 	c.dropEndpoint(name, "left the list, as "+string(from)+" knows")
 }
+
+// departuresToSend returns the departures to include in an exchange. It may be called outside
+// the control loop.
+func (c *Controller) departuresToSend(now time.Time) []*messenger.Departure {
+	return messenger.DeparturesOf(now, now.Add(-departureSendPeriod), c.Publisher.View().Departures)
+}
+
+// learnReported learns of the departures that another instance reported.
+func (c *Controller) learnReported(from *messenger.Member, reported []*messenger.Departure) {
+	if len(reported) == 0 || c.Source == nil {
+		return
+	}
+	learned, err := messenger.ReadDepartures(time.Now(), reported)
+	if err != nil {
+		c.Log.WithError(err).WithField("peer", from.GetInstance()).Warn("departures reported by an instance set aside")
+		return
+	}
+	c.Loop.Post(func() { c.LearnDepartures(identifier.Instance(from.GetInstance()), learned) })
+}
--- a/router/controller/departures_test.go
+++ b/router/controller/departures_test.go
@@ -7,6 +7,7 @@
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/publisher"
 )
 
@@ -146,3 +147,37 @@
 		t.Error("the latest departure is not kept")
 	}
 }
+
+// TestOwnAbsenceTakenForOutageByReturningInstance guards against an instance that was away and keeps
+// endpoints that left meanwhile, as if the store had been away: what the others know reaches it
+// with the first exchange, whoever begins it.
+func TestOwnAbsenceTakenForOutageByReturningInstance(t *testing.T) {
+	for name, exchange := range map[string]func(t *testing.T, away, present *instance){
+		"begun by the returning one": func(t *testing.T, away, present *instance) { exchangeWith(t, away, present) },
+		"begun by another":           func(t *testing.T, away, present *instance) { exchangeWith(t, present, away) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			away, present := listAB(t), listAB(t)
+			present.endpoints.changes <- at(20, cataloguer.Change[cataloguer.Endpoint]{Removed: []string{"a"}})
+			present.waitFor(t, "only endpoint b", func(v *publisher.View) bool { return availableEndpoints(v) == "b " })
+			away.endpoints.down <- struct{}{}
+			time.Sleep(2 * time.Millisecond)
+			away.endpoints.changes <- at(30, fullList(endpoint("b", false)))
+			away.waitFor(t, "a list with a retained endpoint", func(*publisher.View) bool { return away.publisher.List().Version == 10 })
+			returned := time.Now()
+			exchange(t, away, present)
+			away.waitFor(t, "only endpoint b", func(v *publisher.View) bool { return availableEndpoints(v) == "b " })
+			if got, most := time.Since(returned), retainAfterOutage/2; got > most {
+				t.Errorf("the endpoint was dropped after %v, want at most %v", got, most)
+			}
+		})
+	}
+}
+
+// exchangeWith lets one instance exchange with another.
+func exchangeWith(t *testing.T, from, to *instance) {
+	t.Helper()
+	if _, err := from.controller.Exchange(t.Context(), &messenger.Member{Address: listen(t, to.controller)}); err != nil {
+		t.Fatal(err)
+	}
+}
