--- a/router/proxier/endless_test.go
+++ b/router/proxier/endless_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -407,3 +408,53 @@
 		t.Errorf("got %d bytes of log, want at most %d", got, want)
 	}
 }
+
+// idleCaller is a caller that reads nothing until it is released.
+type idleCaller struct {
+	*httptest.ResponseRecorder
+	released <-chan struct{}
+}
+
+// Write blocks until the caller is released, and fails then.
+func (c idleCaller) Write([]byte) (int, error) {
+	<-c.released
+	return 0, errors.New("the caller is gone")
+}
+
+// TestValidEventsWithoutEnd guards against valid events without end that are kept for hundreds of
+// callers which read nothing.
+func TestValidEventsWithoutEnd(t *testing.T) {
+	data := strings.Repeat("x", 4<<10)
+	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for id := 1; ; id++ {
+			event := fmt.Sprintf("id: %d\ndata: %s\n\n", id, data)
+			if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return
+			}
+		}
+	})
+	f := newFixture(cataloguer.AtMostOnce, true, e)
+	released := make(chan struct{})
+	got := heapPeak(func() {
+		var group errgroup.Group
+		for range 300 {
+			group.Go(func() error {
+				_, err := f.proxier.Serve(context.Background(), idleCaller{
+					ResponseRecorder: httptest.NewRecorder(),
+					released:         released,
+				}, f.job(endlessTimeout))
+				if err == nil {
+					t.Error("got a complete answer, want an error")
+				}
+				return nil
+			})
+		}
+		time.Sleep(2 * time.Second)
+		close(released)
+		group.Wait()
+	})
+	if got > heapGrowthLimit {
+		t.Errorf("heap growth: got %d bytes, want at most %d", got, heapGrowthLimit)
+	}
+}
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -343,7 +343,13 @@
 // serve forwards one request and returns the response that its caller receives.
 func (f *fixture) serve(ctx context.Context, timeout time.Duration) (*httptest.ResponseRecorder, bool, error) {
 	w := httptest.NewRecorder()
-	started, err := f.proxier.Serve(ctx, w, proxier.Job{
+	started, err := f.proxier.Serve(ctx, w, f.job(timeout))
+	return w, started, err
+}
+
+// job returns a request of the fixture's route.
+func (f *fixture) job(timeout time.Duration) proxier.Job {
+	return proxier.Job{
 		Request: &courier.Request{
 			ID:     "r1",
 			Method: http.MethodPost,
@@ -354,8 +360,7 @@
 		Service:  "s",
 		Engine:   f.engine,
 		Deadline: time.Now().Add(timeout),
-	})
-	return w, started, err
+	}
 }
 
 func kindOf(err error) classifier.Kind {
