Take a row of the registry for a candidate and not for a living instance

Cause: a process that started took each row for a living instance, and rows are never removed.

Change: a member is who was heard from, or of from one that was. A process that starts asks the instances of the latest rows whether they run. Members that have been silent for ten terms are forgotten.

--- a/core/messenger/platform.go
+++ b/core/messenger/platform.go
@@ -1,6 +1,10 @@
 package messenger
 
-import "fmt"
+import (
+	"fmt"
+
+	"heatherhold.dev/core/identifier"
+)
 
 // The JSON messages of the platform's table service and instance list.
 
@@ -50,6 +54,14 @@
 	Processor uint32 `json:"processor,omitempty"`
 }
 
+// RegisteredInstance is an instance's row in the registry of a platform that has a store. It
+// says that the instance was started once, and not that it still runs.
+type RegisteredInstance struct {
+	ListedInstance
+	// Row is the version of the row.
+	Row identifier.RowVersion
+}
+
 const (
 	// maxIncarnation is the latest start that is believed, in Unix nanoseconds: in the year
 	// 2116.
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -72,12 +72,10 @@
 	// platform.
 	platformRevision identifier.Revision
 	publishedLive    []identifier.Instance
-	// registeredAt is when the instance was last entered in the registry. Only the
-	// goroutine that reads the registry accesses it.
-	registeredAt time.Time
-	// registeredEra is the era of the platform's store in which that was.
-	registeredEra identifier.Era
-	pushSignal    chan struct{}
+	registry         registry
+	// discovered is set once the instances that run had time to answer after the start.
+	discovered bool
+	pushSignal chan struct{}
 
 	trackedMu sync.Mutex
 	tracked   map[identifier.Revision]*trackedAcceptance
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -22,10 +22,11 @@
 
 // Registry is the list in which instances announce themselves and find each other.
 type Registry interface {
-	// Register returns the era of the platform's store in which the entry was written, and
-	// List the one of the list.
+	// Register returns the era of the platform's store in which the entry was written.
 	Register(ctx context.Context, l messenger.ListedInstance) (identifier.Era, error)
-	List(ctx context.Context) ([]messenger.ListedInstance, identifier.Era, error)
+	// List returns the entries, those that were written last first, and the era of the list.
+	// They are of instances that were started once, and may be gone.
+	List(ctx context.Context) ([]messenger.RegisteredInstance, identifier.Era, error)
 }
 
 // Source is a platform that stores the operators' configuration itself and
@@ -80,6 +81,7 @@
 
 // runSource is Run for a platform with a Source.
 func (c *Controller) runSource(ctx context.Context) error {
+	c.state.Unproven = true
 	c.fleet = fleet{
 		endpoints:     make(map[string]cataloguer.Endpoint),
 		retainedUntil: make(map[string]time.Time),
@@ -92,7 +94,7 @@
 	group.Go(func() error {
 		return consumeFeed(ctx, c, "endpoints", c.Source.Endpoints, c.applyEndpoints)
 	})
-	group.Go(func() error { return runPeriodically(ctx, c.Settings.Platform.ListInterval.Std(), c.syncRegistry) })
+	group.Go(func() error { return c.runRegistry(ctx) })
 	group.Go(func() error { return runPeriodically(ctx, c.Settings.Peer.Interval.Std(), c.exchangeWithRandomPeer) })
 	group.Go(func() error { return c.pushUpdates(ctx) })
 	group.Go(func() error { return c.exchangeWithSeeds(ctx) })
@@ -326,51 +328,6 @@
 	return out
 }
 
-// registrationIntervals is how many readings of the registry an entry may be missing
-// from after it was written: what is read may be another instance's older copy.
-const registrationIntervals = 3
-
-// mustRegister reports whether this instance's entry must be written: it is missing from
-// the registry, was not written recently or was lost since with the store's last seconds,
-// and the instance is not stopping.
-func (c *Controller) mustRegister(listed []messenger.ListedInstance, era identifier.Era) bool {
-	if c.Publisher.Stopping() || slices.Contains(listed, c.ownListing()) {
-		return false
-	}
-	return era > c.registeredEra || time.Since(c.registeredAt) >= registrationIntervals*c.Settings.Platform.ListInterval.Std()
-}
-
-// syncRegistry reads the registry of instances, and enters this instance if it must.
-func (c *Controller) syncRegistry(ctx context.Context) {
-	listed, era, err := c.Source.Registry.List(ctx)
-	if err != nil {
-		c.Log.WithError(err).Debug("registry of instances not read")
-		return
-	}
-	if c.mustRegister(listed, era) {
-		written, err := c.Source.Registry.Register(ctx, c.ownListing())
-		if err == nil {
-			c.registeredAt = time.Now()
-			c.registeredEra = written
-		} else {
-			c.Log.WithError(err).Warn("instance not entered in the registry; it is tried again")
-		}
-	}
-	members := make([]*messenger.Member, 0, len(listed))
-	for _, l := range listed {
-		members = append(members, &messenger.Member{
-			Instance:    l.Name,
-			Address:     l.Address,
-			Site:        l.Site,
-			Incarnation: l.Incarnation,
-			Processor:   l.Processor,
-		})
-	}
-	c.Loop.Post(func() {
-		c.update(func(now time.Time) { c.state.UpdateListed(now, members) })
-	})
-}
-
 // seedDelay is how long the instance waits for the store's response before it
 // asks the seeds: when the store and all seeds send a large configuration at
 // once, each transfer is delayed.
--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -54,7 +54,7 @@
 // fakeRegistry lists instances and ignores announcements.
 type fakeRegistry struct {
 	mu     sync.Mutex
-	listed []messenger.ListedInstance
+	listed []messenger.RegisteredInstance
 	// lists and registrations count the calls; the first failures registrations fail.
 	lists         int
 	registrations int
@@ -73,7 +73,7 @@
 	return r.era, nil
 }
 
-func (r *fakeRegistry) List(context.Context) ([]messenger.ListedInstance, identifier.Era, error) {
+func (r *fakeRegistry) List(context.Context) ([]messenger.RegisteredInstance, identifier.Era, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lists++
@@ -91,19 +91,25 @@
 }
 
 // start runs a controller until the test ends.
-func start(t *testing.T) *instance {
+func start(t testing.TB) *instance {
 	t.Helper()
 	return startConfigured(t, func(*controller.Controller) {})
 }
 
 // startConfigured runs a controller, after configure has modified it, until the
 // test ends.
-func startConfigured(t *testing.T, configure func(*controller.Controller)) *instance {
+func startConfigured(t testing.TB, configure func(*controller.Controller)) *instance {
+	t.Helper()
+	return startNamed(t, "i1", "127.0.0.1:1", configure)
+}
+
+// startNamed is startConfigured for an instance with a name and a peer address.
+func startNamed(t testing.TB, name identifier.Instance, address string, configure func(*controller.Controller)) *instance {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := &loader.Settings{Instance: "i1"}
-	s.Listen.Peer = "127.0.0.1:1"
+	s := &loader.Settings{Instance: name}
+	s.Listen.Peer = address
 	s.Peer.Term = identifier.DurationOf(2 * time.Second)
 	s.Peer.Interval = identifier.DurationOf(time.Second)
 	s.Platform.ListInterval = identifier.DurationOf(time.Second)
@@ -355,10 +361,16 @@
 
 // listen serves exchange requests for a controller until the test ends, and
 // returns the address.
-func listen(t *testing.T, c *controller.Controller) string {
+func listen(t testing.TB, c *controller.Controller) string {
+	t.Helper()
+	return listenAt(t, c, "127.0.0.1:0")
+}
+
+// listenAt is listen at a given address.
+func listenAt(t testing.TB, c *controller.Controller, address string) string {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	l, err := c.Dialer.Listen(ctx, "127.0.0.1:0")
+	l, err := c.Dialer.Listen(ctx, address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/router/controller/view.go
+++ b/router/controller/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/declarer"
@@ -17,7 +18,7 @@
 // loop.
 func (c *Controller) publish() {
 	c.updateDeclaration()
-	if c.declaration == nil {
+	if c.declaration == nil || c.Source != nil && !c.discovered && time.Since(c.state.StartedAt) < discoveryLimit {
 		return
 	}
 	if !c.state.Self.GetGone() {
--- a/router/gossiper/gossiper.go
+++ b/router/gossiper/gossiper.go
@@ -55,6 +55,10 @@
 	Term time.Duration
 	// StartedAt is when the instance started.
 	StartedAt time.Time
+	// Unproven is set if the platform's list may name instances that are gone for long. Its
+	// entries are no members then: a member is who was heard from, by this instance or by
+	// one that tells of it.
+	Unproven bool
 
 	revision       identifier.Revision
 	document       declarer.Document
--- a/router/gossiper/members.go
+++ b/router/gossiper/members.go
@@ -16,6 +16,10 @@
 // and since the platform's list first lacked it, before the member is removed.
 const removalTerms = 3
 
+// forgetTerms is how many terms a member of a platform with an unproven list is remembered
+// after it fell silent. Until then it may still run and use its share of what is limited.
+const forgetTerms = 10
+
 // suspicionGraceDivisor sets how long a member's own message protects it from
 // suspicion reported by other instances: a term divided by it.
 const suspicionGraceDivisor = 4
@@ -49,7 +53,7 @@
 	old, ok := s.members[name]
 	switch {
 	case !ok:
-		if m.GetGone() && !direct {
+		if !direct && (m.GetGone() || s.Unproven && m.GetSuspected()) {
 			return
 		}
 		s.members[name] = &member{
@@ -160,6 +164,10 @@
 func (s *State) UpdateListed(now time.Time, list []*messenger.Member) {
 	s.prepare()
 	s.listReadAt = now
+	if s.Unproven {
+		s.forgetSilent(now)
+		return
+	}
 	inList := make(map[string]bool)
 	for _, m := range list {
 		inList[m.GetInstance()] = true
@@ -181,6 +189,25 @@
 	}
 }
 
+// forgetSilent removes the members that have been suspected or gone for more than
+// forgetTerms terms. One that lives after all is a member again once it is heard from.
+func (s *State) forgetSilent(now time.Time) {
+	for name, m := range s.members {
+		silent := m.wire.GetSuspected() || m.wire.GetGone()
+		if silent && now.Sub(m.lastChanged) > forgetTerms*s.Term {
+			delete(s.members, name)
+			s.changeCount++
+		}
+	}
+}
+
+// Heard reports whether an instance is a member: it was heard from, and not silent for long
+// since.
+func (s *State) Heard(name string) bool {
+	_, ok := s.members[name]
+	return ok
+}
+
 // KnowsAllMembers reports whether the instance knows every other instance that may
 // be confirmed. It does once it has read the platform's list after its own
 // establishment time: by then the list has every instance that is older than
