Remove the rows of instances that are gone from the registry

Cause: a planned stop withdrew the row only on the project's own platform, and nobody removed the row of an instance that was killed.

Change: an instance removes its own row at a planned stop; one living instance, chosen by hash, removes those of which nobody has heard for a minute, at most 20 after a reading, under the versions that it read.

Why it works: a row that is written again has another version, and an instance whose row is removed by mistake writes it again within 40 s.

Tests: TestRowsOfGoneInstancesKept, TestRowRemovedByMistakeStaysAway, TestRowLeftAfterPlannedStop, TestRowOfReturnedInstanceRemoved.

--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -348,8 +348,8 @@
 const goneFanout = 8
 
 // Withdraw ends a planned stop: from now on the instance makes no decisions. It
-// notifies some peers of this and, if there is no Source, withdraws the instance
-// from the platform's list.
+// notifies some peers of this and withdraws the instance from the platform's list or
+// registry.
 func (c *Controller) Withdraw(ctx context.Context) error {
 	err := c.Loop.Do(ctx, func() {
 		c.replaceSelf(true, true)
@@ -358,9 +358,18 @@
 	if err != nil {
 		return errors.Wrap(err, "withdraw")
 	}
-	c.exchangeWithRandomPeers(ctx, goneFanout)
-	if c.Source != nil {
+	var group errgroup.Group
+	group.Go(func() error {
+		c.exchangeWithRandomPeers(ctx, goneFanout)
 		return nil
+	})
+	if c.Source != nil {
+		err = c.deregister(ctx)
+	}
+	// The exchanges return no error.
+	_ = group.Wait()
+	if c.Source != nil {
+		return err
 	}
 	return c.Platform.Deregister(ctx, string(c.Settings.Instance))
 }
--- a/router/controller/discovery_test.go
+++ b/router/controller/discovery_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/controller"
@@ -22,7 +24,7 @@
 }
 
 // Register replaces the row of an instance.
-func (r *sharedRegistry) Register(_ context.Context, l messenger.ListedInstance) (identifier.Era, error) {
+func (r *sharedRegistry) Register(_ context.Context, l messenger.ListedInstance) (identifier.Position, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
@@ -31,7 +33,31 @@
 		ListedInstance: l,
 		Row:            r.version,
 	})
-	return 1, nil
+	return identifier.Position{
+		Era:     1,
+		Version: r.version,
+	}, nil
+}
+
+// Remove removes rows whose versions are as they were read.
+func (r *sharedRegistry) Remove(_ context.Context, era identifier.Era, gone []messenger.RegisteredInstance) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range gone {
+		if era != 1 || !slices.ContainsFunc(r.rows, func(l messenger.RegisteredInstance) bool { return l.Name == g.Name && l.Row == g.Row }) {
+			return errors.New("a row was written again")
+		}
+	}
+	r.rows = slices.DeleteFunc(r.rows, func(l messenger.RegisteredInstance) bool { return slices.Contains(namesOf(gone), l.Name) })
+	return nil
+}
+
+func namesOf(instances []messenger.RegisteredInstance) []string {
+	var names []string
+	for _, l := range instances {
+		names = append(names, l.Name)
+	}
+	return names
 }
 
 // List returns the rows, the latest first.
--- a/router/controller/registry.go
+++ b/router/controller/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -38,10 +39,16 @@
 // registry is what the instance keeps of the registry. Only the goroutine that reads the
 // registry accesses it.
 type registry struct {
-	// registeredAt is when the instance was last entered, and registeredEra the era of the
-	// platform's store in which that was.
-	registeredAt  time.Time
-	registeredEra identifier.Era
+	// registeredAt is when the instance was last entered, and registered the position in the
+	// history of the platform's store at which that was. Others may read registered.
+	registeredAt time.Time
+	registered   atomic.Pointer[identifier.Position]
+	// rows and silentCount are the numbers of all rows, and of those of no member, in the last
+	// reading. Others may read them.
+	rows        atomic.Int64
+	silentCount atomic.Int64
+	// silent has the rows of those that are no members.
+	silent silentRows
 	// readings is the number of readings.
 	readings int
 	// probed is how many of the rows of silent instances were asked since the last time
@@ -73,7 +80,7 @@
 		return false
 	}
 	r := &c.registry
-	return era > r.registeredEra || time.Since(r.registeredAt) >= registrationIntervals*c.Settings.Platform.ListInterval.Std()
+	return era > r.position().Era || time.Since(r.registeredAt) >= registrationIntervals*c.Settings.Platform.ListInterval.Std()
 }
 
 // register enters this instance in the registry.
@@ -84,7 +91,15 @@
 		return
 	}
 	c.registry.registeredAt = time.Now()
-	c.registry.registeredEra = written
+	c.registry.registered.Store(&written)
+}
+
+// position returns where the instance was last entered; zero if it never was.
+func (r *registry) position() identifier.Position {
+	if p := r.registered.Load(); p != nil {
+		return *p
+	}
+	return identifier.Position{}
 }
 
 // syncRegistry reads the registry of instances, and enters this instance if it must. It asks
@@ -105,6 +120,8 @@
 	if err != nil {
 		return
 	}
+	c.registry.rows.Store(int64(len(listed)))
+	c.registry.silentCount.Store(int64(len(unheard)))
 	c.registry.readings++
 	switch {
 	case c.registry.readings == 1:
@@ -113,9 +130,16 @@
 		c.probe(ctx, unheard[:min(len(unheard), firstProbes)])
 	default:
 		c.probe(ctx, c.nextProbes(unheard))
+		c.sweep(ctx, era, unheard)
 	}
 }
 
+// RegistryRows returns how many rows the registry had when it was last read, and how many of
+// them are of instances that are not known to run.
+func (c *Controller) RegistryRows() (all, silent int) {
+	return int(c.registry.rows.Load()), int(c.registry.silentCount.Load())
+}
+
 // unheard returns the registered instances that are no members. It runs on the control loop.
 func (c *Controller) unheard(listed []messenger.RegisteredInstance) []messenger.RegisteredInstance {
 	var out []messenger.RegisteredInstance
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -22,8 +22,11 @@
 
 // Registry is the list in which instances announce themselves and find each other.
 type Registry interface {
-	// Register returns the era of the platform's store in which the entry was written.
-	Register(ctx context.Context, l messenger.ListedInstance) (identifier.Era, error)
+	// Register returns the position at which the entry was written.
+	Register(ctx context.Context, l messenger.ListedInstance) (identifier.Position, error)
+	// Remove removes entries that were read in an era of the platform's store, unless one of
+	// them was written again since.
+	Remove(ctx context.Context, era identifier.Era, gone []messenger.RegisteredInstance) error
 	// List returns the entries, those that were written last first, and the era of the list.
 	// They are of instances that were started once, and may be gone.
 	List(ctx context.Context) ([]messenger.RegisteredInstance, identifier.Era, error)
@@ -44,6 +47,9 @@
 	// RetainAfterOutage is how long an endpoint whose entry disappeared during an
 	// outage of the platform is still treated as listed after the outage.
 	RetainAfterOutage time.Duration
+	// SweepAfter is how long an instance must have been silent before its row is removed
+	// from the registry; 0 selects a minute.
+	SweepAfter time.Duration
 }
 
 // StoredConfiguration is a configuration in the platform's stored form and in decoded
--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -63,14 +63,22 @@
 }
 
 // Register counts an announcement.
-func (r *fakeRegistry) Register(context.Context, messenger.ListedInstance) (identifier.Era, error) {
+func (r *fakeRegistry) Register(context.Context, messenger.ListedInstance) (identifier.Position, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.registrations++
 	if r.registrations <= r.failures {
-		return 0, errors.New("the store is unavailable")
+		return identifier.Position{}, errors.New("the store is unavailable")
 	}
-	return r.era, nil
+	return identifier.Position{
+		Era:     r.era,
+		Version: 1,
+	}, nil
+}
+
+// Remove ignores the removal.
+func (r *fakeRegistry) Remove(context.Context, identifier.Era, []messenger.RegisteredInstance) error {
+	return nil
 }
 
 func (r *fakeRegistry) List(context.Context) ([]messenger.RegisteredInstance, identifier.Era, error) {
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -292,6 +292,14 @@
 		RetainAfterOutage: s.Store.RetainAfterOutage.Std(),
 	}
 	c.OnExchange = p.CountExchange
+	p.Gauge(`heatherhold_registry_rows{state="all"}`, func() float64 {
+		all, _ := c.RegistryRows()
+		return float64(all)
+	})
+	p.Gauge(`heatherhold_registry_rows{state="silent"}`, func() float64 {
+		_, silent := c.RegistryRows()
+		return float64(silent)
+	})
 	c.Quarantiner = q
 	q.OnNews = c.Push
 	x.OnLeaving = c.MarkLeaving
