Succeed the incarnation that an instance had before its clock was set back

What would be seen: an instance that starts within a step back of its clock is ignored by the others for good, and may own pools beside the one that they choose (suspected by the review, not shown there).

Cause: the incarnation is the time of day at the start, and a lower one is ignored.

Change: an instance takes a higher incarnation than its own row has, and than a peer reports of it; a peer that knows a later one says so in its reply.

Why it works: whoever knows the earlier process is the one that would ignore this one, and tells it.

TestClockStepBackAtStart and TestRowOfLaterIncarnation failed before.

--- a/core/messenger/platform.go
+++ b/core/messenger/platform.go
@@ -63,9 +63,9 @@
 }
 
 const (
-	// maxIncarnation is the latest start that is believed, in Unix nanoseconds: in the year
+	// MaxIncarnation is the latest start that is believed, in Unix nanoseconds: in the year
 	// 2116.
-	maxIncarnation = 1 << 62
+	MaxIncarnation = 1 << 62
 	// maxProcessor is the greatest processor time that is believed. Instances that are much
 	// weaker than the strongest own no pools.
 	maxProcessor = 1 << 30
@@ -77,7 +77,7 @@
 	switch {
 	case l.Name == "" || l.Role == "":
 		return fmt.Errorf("entry with the name %q and the role %q", l.Name, l.Role)
-	case l.Incarnation > maxIncarnation:
+	case l.Incarnation > MaxIncarnation:
 		return fmt.Errorf("invalid incarnation %d", l.Incarnation)
 	case l.Processor > maxProcessor:
 		return fmt.Errorf("invalid processor time %d", l.Processor)
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,7 +50,8 @@
 	Quarantiner *quarantiner.Quarantiner
 	Log         logrus.FieldLogger
 
-	incarnation uint64
+	// incarnation is that of state.Self; others than the control loop may read it.
+	incarnation atomic.Uint64
 
 	state  *gossiper.State
 	listed []messenger.ListedInstance
@@ -85,10 +87,9 @@
 // becomes the start time and the incarnation of the instance.
 func New(s *loader.Settings, loop *executor.Loop) *Controller {
 	now := time.Now()
-	return &Controller{
-		Settings:    s,
-		Loop:        loop,
-		incarnation: uint64(now.UnixNano()),
+	c := &Controller{
+		Settings: s,
+		Loop:     loop,
 		state: &gossiper.State{
 			Self: &messenger.Member{
 				Instance:    string(s.Instance),
@@ -103,6 +104,8 @@
 		pushSignal: make(chan struct{}, 1),
 		tracked:    make(map[identifier.Revision]*trackedAcceptance),
 	}
+	c.incarnation.Store(c.state.Self.GetIncarnation())
+	return c
 }
 
 // milliPerCore is the number of thousandths of a core in a core.
@@ -300,6 +303,7 @@
 	now := time.Now()
 	revision, marks, self := c.state.Revision(), len(c.state.Marks()), c.state.Self
 	change(now)
+	c.incarnation.Store(c.state.Self.GetIncarnation())
 	if c.state.Revision() != revision || len(c.state.Marks()) != marks || c.state.Self != self {
 		c.requestPush()
 	}
--- a/router/controller/discovery_test.go
+++ b/router/controller/discovery_test.go
@@ -190,3 +190,22 @@
 		})
 	}
 }
+
+// TestRowOfLaterIncarnation guards against an instance that enters itself with a lower incarnation
+// than its row has, because its clock was set back, and is ignored by the others.
+func TestRowOfLaterIncarnation(t *testing.T) {
+	r := &sharedRegistry{}
+	earlier := uint64(time.Now().Add(time.Hour).UnixNano())
+	_, _ = r.Register(t.Context(), messenger.ListedInstance{
+		Name:        "alive-0",
+		Address:     "127.0.0.1:1",
+		Incarnation: earlier,
+	})
+	awaitAll(t, startRegistered(t, r, 2))
+	rows, _, _ := r.List(t.Context())
+	for _, l := range rows {
+		if l.Name == "alive-0" && l.Incarnation <= earlier {
+			t.Errorf("incarnation of the row: got %d, want more than %d", l.Incarnation, earlier)
+		}
+	}
+}
--- a/router/controller/platform.go
+++ b/router/controller/platform.go
@@ -47,7 +47,7 @@
 		Name:        string(c.Settings.Instance),
 		Role:        messenger.RouterRole,
 		Address:     c.Settings.Listen.Peer,
-		Incarnation: c.incarnation,
+		Incarnation: c.incarnation.Load(),
 		DataCentre:  string(c.Settings.DataCentre),
 		Site:        string(c.Settings.Site),
 		Processor:   processorOf(c.Settings),
--- a/router/controller/registry.go
+++ b/router/controller/registry.go
@@ -110,6 +110,9 @@
 		c.Log.WithError(err).Debug("registry of instances not read")
 		return
 	}
+	if c.registry.readings == 0 {
+		c.succeedOwnRow(ctx, listed)
+	}
 	if c.mustRegister(listed, era) {
 		c.register(ctx)
 	}
@@ -134,6 +137,18 @@
 	}
 }
 
+// succeedOwnRow makes this instance's incarnation higher than that of its row, which a process
+// before this one has written.
+func (c *Controller) succeedOwnRow(ctx context.Context, listed []messenger.RegisteredInstance) {
+	for _, l := range listed {
+		if l.Name != string(c.Settings.Instance) {
+			continue
+		}
+		// An error means that the control loop has ended.
+		_ = c.Loop.Do(ctx, func() { c.update(func(time.Time) { c.state.Succeed(l.Incarnation) }) })
+	}
+}
+
 // RegistryRows returns how many rows the registry had when it was last read, and how many of
 // them are of instances that are not known to run.
 func (c *Controller) RegistryRows() (all, silent int) {
--- a/router/gossiper/gossiper.go
+++ b/router/gossiper/gossiper.go
@@ -230,7 +230,7 @@
 		Revision:    uint64(s.revision),
 		ConfirmedMs: s.remainingMs(now),
 		Established: s.Established(now),
-		Members:     s.membersToSend(now),
+		Members:     s.withKnown(s.membersToSend(now), r.GetSender()),
 		Marks:       s.marksToSend(now),
 	}
 	changes, ok := s.Since(identifier.Revision(r.GetRevision()))
--- a/router/gossiper/members.go
+++ b/router/gossiper/members.go
@@ -77,11 +77,28 @@
 	}
 }
 
+// Succeed makes this instance's incarnation higher than one that it had before, if it is not
+// yet: the clock may have stepped back since. Others ignore a lower one for ever. One that is
+// not believed anywhere is not succeeded.
+func (s *State) Succeed(earlier uint64) {
+	if earlier < s.Self.GetIncarnation() || earlier >= messenger.MaxIncarnation {
+		return
+	}
+	s.Self = merge(s.Self, s.Self, false)
+	s.Self.Incarnation = earlier + 1
+	s.Self.Refutations = 0
+}
+
 // refute answers a report that this instance is suspected: the count of refutations
 // rises, and the other instances pass the higher count on to each other. Without it a
 // suspicion would end only at those that this instance itself exchanges with, and they
-// would take it up again from the others.
+// would take it up again from the others. A report of a later incarnation is of a process
+// before this one.
 func (s *State) refute(report *messenger.Member) {
+	if report.GetIncarnation() > s.Self.GetIncarnation() {
+		s.Succeed(report.GetIncarnation())
+		return
+	}
 	if !report.GetSuspected() || report.GetIncarnation() != s.Self.GetIncarnation() || report.GetRefutations() < s.Self.GetRefutations() {
 		return
 	}
@@ -266,6 +283,16 @@
 	return live
 }
 
+// withKnown returns members and, if a later incarnation of the sender is known than the one
+// that sent, the sender's: so it learns that it has to succeed it.
+func (s *State) withKnown(members []*messenger.Member, sender *messenger.Member) []*messenger.Member {
+	known, ok := s.members[sender.GetInstance()]
+	if !ok || known.wire.GetIncarnation() <= sender.GetIncarnation() || slices.Contains(members, known.wire) {
+		return members
+	}
+	return append(members, known.wire)
+}
+
 // membersToSend returns the members to include in a message: of those that changed
 // within the last memberSendPeriod the newest and a random sample, and a random sample
 // of the others.
--- a/router/gossiper/unproven_test.go
+++ b/router/gossiper/unproven_test.go
@@ -79,3 +79,42 @@
 		t.Errorf("live instances once it is heard from: got %d, want %d", got, want)
 	}
 }
+
+// TestClockStepBackAtStart guards against an instance that starts after its clock was set back, and
+// whose messages the others then ignore for ever.
+func TestClockStepBackAtStart(t *testing.T) {
+	before := memberNamed("self", false)
+	before.Incarnation = 5_000
+	for name, learn := range map[string]func(s, running *gossiper.State, now time.Time){
+		"from its row": func(s, _ *gossiper.State, _ time.Time) { s.Succeed(before.GetIncarnation()) },
+		"from the reply": func(s, running *gossiper.State, now time.Time) {
+			s.HandleReply(now, now, running.HandleRequest(now, s.Request(now, 0)))
+		},
+	} {
+		running, now := newUnproven()
+		running.Self.Instance = "running"
+		running.HandleRequest(now, &messenger.ExchangeRequest{Sender: before})
+		running.Suspect(now, "self")
+		s, _ := newUnproven()
+		learn(s, running, now)
+		if got := s.Self.GetIncarnation(); got <= before.GetIncarnation() {
+			t.Errorf("%s: incarnation: got %d, want more than %d", name, got, before.GetIncarnation())
+		}
+		running.HandleRequest(now, s.Request(now, 0))
+		if got, want := len(running.Live()), 2; got != want {
+			t.Errorf("%s: live instances: got %d, want %d", name, got, want)
+		}
+	}
+}
+
+// TestImpossibleIncarnationSucceeded guards against an instance that takes an incarnation which no
+// other believes, from a row or a message that no instance wrote.
+func TestImpossibleIncarnationSucceeded(t *testing.T) {
+	for _, earlier := range []uint64{messenger.MaxIncarnation, 1<<64 - 1} {
+		s, _ := newUnproven()
+		s.Succeed(earlier)
+		if got, want := s.Self.GetIncarnation(), uint64(1); got != want {
+			t.Errorf("incarnation after %d: got %d, want %d", earlier, got, want)
+		}
+	}
+}
