Do not pass on a 503 without signature as the promise that a request has not run

Cause: answers without signature were checked below 500 only.

Change: a 503 without signature that does not state that the request has not run counts as lost, as other answers without signature do.

Why it works: only X-Not-Run says that a request has not run; the outcome is unknown then, and 502 promises nothing.

TestUnsignedResponseNotForwarded failed for 503 before, for streams and plain requests.

--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -70,9 +70,10 @@
 }
 
 // unsigned reports whether a response looks like an endpoint's result, a success
-// or a client error, but does not have an endpoint's signature.
+// or a client error, or promises that the request has not run, but does not have an
+// endpoint's signature.
 func unsigned(status int, info courier.ResponseMetadata) bool {
-	return !info.Signed && status < http.StatusInternalServerError
+	return !info.Signed && (status < http.StatusInternalServerError || status == http.StatusServiceUnavailable)
 }
 
 func (p *plainRequest) run(ctx context.Context) error {
--- a/router/proxier/unsigned_test.go
+++ b/router/proxier/unsigned_test.go
@@ -21,10 +21,11 @@
 	}
 }
 
-// TestUnsignedResponseNotForwarded guards against a caller that receives a success
-// or a client error from a response without an endpoint's signature.
+// TestUnsignedResponseNotForwarded guards against a caller that receives a success,
+// a client error or the promise that its request has not run from a response without an
+// endpoint's signature.
 func TestUnsignedResponseNotForwarded(t *testing.T) {
-	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusNotFound} {
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusNotFound, http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
 		for _, streams := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%d, streams %v", status, streams), func(t *testing.T) {
 				f := newFixture(cataloguer.AtMostOnce, streams, newEndpoint(t, "a", replyUnsigned(status)))
