Keep a small limit with many instances

Cause: instances without a share of a limit ask for it now and then, together a tenth of it. The pause until they ask was capped at 10 minutes, where a tenth of this limit wants 65: together they asked for six times as much as meant.

Change: the cap is six hours.

Why it works: the instances together ask for a tenth of the limit at any size that the design is for. An instance without a share learns later that a limit ended; those with a share go on using the endpoint.

--- a/router/balancer/balancer.go
+++ b/router/balancer/balancer.go
@@ -175,8 +175,10 @@
 	// askedShare is the share of a limit that instances without a share of their own use
 	// to find out whether it still holds.
 	askedShare = 0.1
-	// maxClosed bounds the time until such an instance asks.
-	maxClosed = 10 * time.Minute
+	// maxClosed bounds the time until such an instance asks. It is longer than the time that
+	// a few hundred instances need to ask for their share of a request every few seconds: a
+	// shorter one would let them exceed the limit together.
+	maxClosed = 6 * time.Hour
 	// minMembers is how many instances share a limit, however small it is, and
 	// membersPerRequest how many more for each request a second.
 	minMembers        = 2
