Give the streams of a test the time that its last one may need to arrive

Traced: its requests had 400 ms, and the endpoint crashes when the last of 20 has arrived. A request whose time is over asks nobody, as it should. What it requires is unchanged.

No code that runs is changed.

--- a/router/proxier/crash_test.go
+++ b/router/proxier/crash_test.go
@@ -145,6 +145,11 @@
 
 // serveParts forwards one request with the given parts.
 func serveParts(x *proxier.Proxier, route *cataloguer.Route, engine *cataloguer.Engine, parts ...identifier.Part) error {
+	return servePartsWithin(400*time.Millisecond, x, route, engine, parts...)
+}
+
+// servePartsWithin is serveParts with a time that the request has.
+func servePartsWithin(timeout time.Duration, x *proxier.Proxier, route *cataloguer.Route, engine *cataloguer.Engine, parts ...identifier.Part) error {
 	w := httptest.NewRecorder()
 	_, err := x.Serve(context.Background(), w, proxier.Job{
 		Request: &courier.Request{
@@ -157,7 +162,7 @@
 		Route:    route,
 		Service:  "s",
 		Engine:   engine,
-		Deadline: time.Now().Add(400 * time.Millisecond),
+		Deadline: time.Now().Add(timeout),
 	})
 	if err == nil && !strings.Contains(w.Body.String(), "id: 2") {
 		return errors.New("incomplete response")
@@ -209,7 +214,8 @@
 		arrived.Wait()
 	}
 	for range streams {
-		group.Go(func() { _ = serveParts(f.proxier, &f.route, f.engine, "bad") })
+		// No request's time may be over before the last one has arrived: nobody asks then.
+		group.Go(func() { _ = servePartsWithin(time.Minute, f.proxier, &f.route, f.engine, "bad") })
 	}
 	group.Wait()
 	if got := fleet.probes; got != 1 {
