Share the retries of model requests between all instances

Streams stayed at a chain with a failed stage, and refused requests were not sent on, because their own instance had no retry left: an instance has one n-th of the limit, and of that it saves up two fifths, which is one retry with 83 instances.

The pool's owner now keeps half of the limit for all, counted over the window, and pays for a retry when an instance has none left. A new owner gains the burst over one window, as another owner may have spent its own.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -73,6 +73,8 @@
 	// endpoints on which it decided; zero if it is not known.
 	Owner identifier.Instance
 	List  identifier.Position
+	// Retry is set if the owner has paid for a retry that the ask wanted.
+	Retry bool
 	// Revoked is cancelled when the owner revokes the ticket because more urgent
 	// work needs the chain, and when the ticket is released.
 	Revoked context.Context
@@ -324,6 +326,7 @@
 	delete(p.waiting, request)
 	t := NewTicket(w.ask, granter.ChainOf(g.GetChain()))
 	t.Owner = p.owner
+	t.Retry = g.GetRetry()
 	t.List = list
 	t.pool = p
 	p.tickets[request] = t
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -17,6 +17,7 @@
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/batcher"
+	"heatherhold.dev/router/budgeter"
 	"heatherhold.dev/router/driver"
 	"heatherhold.dev/router/estimator"
 	"heatherhold.dev/router/executor"
@@ -53,6 +54,11 @@
 	// OnRound, if it is set, is called on the control loop after each round of decisions
 	// of a pool, with the time that it took and the number of requests that wait.
 	OnRound func(s identifier.Service, d time.Duration, waiting int)
+	// Retries are the limits of the retry budget that the entries of a pool share.
+	Retries budgeter.Limits
+	// OnRetry, if it is set, is called on the control loop for each retry that an entry
+	// wanted out of a shared budget.
+	OnRetry func(s identifier.Service, granted bool)
 	// MarkLeaving is called on the control loop when an endpoint reports that it is
 	// leaving.
 	MarkLeaving func(identifier.EndpointIncarnation)
@@ -86,6 +92,10 @@
 	expiries map[identifier.Request]time.Time
 	sessions map[*Session]bool
 	states   map[identifier.EndpointIncarnation]endpointState
+	// budget is the retry budget that the entries share, and paid has the requests without
+	// a ticket for whose retries it was charged.
+	budget *budgeter.Budget
+	paid   map[identifier.Request]bool
 	// decidedAt is when the last round of decisions was made.
 	decidedAt time.Time
 	// runnersSet is set once the scheduler knows the endpoints; no decision is made
@@ -148,6 +158,11 @@
 		expiries:         make(map[identifier.Request]time.Time),
 		sessions:         make(map[*Session]bool),
 		states:           make(map[identifier.EndpointIncarnation]endpointState),
+		budget:           &budgeter.Budget{},
+		paid:             make(map[identifier.Request]bool),
+	}
+	if !key.Standalone {
+		p.budget.Limits = g.Retries
 	}
 	g.pools[key] = p
 	g.refresh(p)
@@ -230,6 +245,9 @@
 		p.scheduler.Cancel(now, identifier.Request(r))
 	}
 	for _, a := range m.GetAsks() {
+		if !g.admitRetry(now, session, a) {
+			continue
+		}
 		ask := askOf(a)
 		p.sessionByRequest[ask.Request] = session
 		delete(p.expiries, ask.Request)
@@ -273,6 +291,7 @@
 func (p *pool) dropRequest(r identifier.Request) {
 	delete(p.sessionByRequest, r)
 	delete(p.expiries, r)
+	delete(p.paid, r)
 }
 
 // closeSession closes a session: waiting requests are cancelled, and tickets in use
@@ -285,6 +304,7 @@
 			continue
 		}
 		delete(p.sessionByRequest, r)
+		delete(p.paid, r)
 		if p.scheduler.Holds(r) {
 			p.expiries[r] = now.Add(g.Lease)
 			continue
@@ -333,6 +353,10 @@
 			batches[session] = m
 		}
 		addDecision(m, d, p.revision())
+		if d.Verdict == scheduler.Granted && p.paid[d.Request] {
+			m.Grants[len(m.Grants)-1].Retry = true
+			delete(p.paid, d.Request)
+		}
 		if d.Verdict == scheduler.Refused {
 			p.dropRequest(d.Request)
 		}
--- /dev/null
+++ b/router/granter/retries_test.go
@@ -0,0 +1,71 @@
+package granter_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/budgeter"
+	"heatherhold.dev/router/granter"
+)
+
+// TestEntryWithoutRetriesRefused guards against a retry that is refused, or granted without
+// being charged, although the budget that all entries share has retries left for it alone.
+func TestEntryWithoutRetriesRefused(t *testing.T) {
+	o := newOwner(t)
+	o.granter.Retries = budgeter.Limits{
+		Ratio:  0.5,
+		Window: 10 * time.Second,
+	}
+	o.configure(1, urgent)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	stream, err := o.granter.Open(ctx, granter.Key{Service: service})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	m := &messenger.ToOwner{}
+	for i := range 4 {
+		m.Asks = append(m.Asks, ask(fmt.Sprintf("r%d.1", i), true, false))
+	}
+	for i := range 3 {
+		m.Asks = append(m.Asks, ask(fmt.Sprintf("r%d.2", i), false, true))
+	}
+	stream.Send(m)
+	retries, refusals := 0, 0
+	for grants := 0; grants+refusals < 7; {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("got %d grants and %d refusals, want 7 answers", grants, refusals)
+		case <-stream.Ready():
+		}
+		for _, answer := range stream.Receive() {
+			refusals += len(answer.GetRefusals())
+			for _, g := range answer.GetGrants() {
+				grants++
+				if g.GetRetry() {
+					retries++
+				}
+			}
+		}
+	}
+	// Four requests add two retries.
+	if retries != 2 || refusals != 1 {
+		t.Errorf("got %d retries paid for and %d refused, want 2 and 1", retries, refusals)
+	}
+}
+
+func ask(request string, first, retry bool) *messenger.Ask {
+	return &messenger.Ask{
+		Request:      request,
+		Rank:         urgent,
+		Weight:       1,
+		PromptTokens: 10,
+		OutputTokens: 10,
+		First:        first,
+		Retry:        retry,
+	}
+}
--- a/router/proxier/fixture_test.go
+++ b/router/proxier/fixture_test.go
@@ -202,8 +202,10 @@
 	list identifier.Position
 	// reuseLast grants the last chain if all are to be avoided.
 	reuseLast bool
-	mu        sync.Mutex
-	asks      []*messenger.Ask
+	// payRetries pays for retries out of the owner's budget.
+	payRetries bool
+	mu         sync.Mutex
+	asks       []*messenger.Ask
 }
 
 func (x *tickets) Acquire(_ context.Context, _ identifier.Service, ask *messenger.Ask) (*acquirer.Ticket, error) {
@@ -230,6 +232,7 @@
 func (x *tickets) ticket(ask *messenger.Ask, chain []identifier.Stage) *acquirer.Ticket {
 	t := acquirer.NewTicket(ask, chain)
 	t.List = x.list
+	t.Retry = ask.GetRetry() && x.payRetries
 	return t
 }
 
--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -103,19 +103,20 @@
 // retry is left.
 func (a *attempt) acquireSuccessor(ctx, search context.Context, avoid identifier.EndpointIncarnation) (*attempt, error) {
 	s := a.stream
-	if s.proxier.budget(time.Now(), s.job.Service).Remaining() < 1 {
+	shared := s.proxier.budget(time.Now(), s.job.Service).Remaining() < 1
+	if shared && s.proxier.Retries.OwnerShare <= 0 {
 		return nil, errNoRetryLeft
 	}
 	pass, err := s.admit(search)
 	if err != nil {
 		return nil, err
 	}
-	ticket, err := s.acquireUnpaused(search, avoid)
+	ticket, err := s.acquireUnpaused(search, shared, avoid)
 	if err != nil {
 		pass.End()
 		return nil, err
 	}
-	if err := s.checkSuccessor(ticket, pass, avoid); err != nil {
+	if err := s.checkSuccessor(ticket, pass, shared, avoid); err != nil {
 		ticket.Release(acquirer.Outcome{})
 		pass.End()
 		return nil, err
@@ -123,15 +124,16 @@
 	return s.newAttempt(ctx, ticket, pass, a.runsBefore+1+a.vainRuns), nil
 }
 
-// checkSuccessor takes a retry for a run with the ticket if that may be sent.
-func (s *stream) checkSuccessor(ticket *acquirer.Ticket, pass *quarantiner.Pass, avoid identifier.EndpointIncarnation) error {
+// checkSuccessor takes a retry for a run with the ticket if that may be sent. If shared is
+// set, the owner's budget has paid for it.
+func (s *stream) checkSuccessor(ticket *acquirer.Ticket, pass *quarantiner.Pass, shared bool, avoid identifier.EndpointIncarnation) error {
 	if contains(ticket.Chain, avoid) {
 		return errSameEndpoint
 	}
 	if refusal := pass.Check(time.Now()); refusal != nil {
 		return quarantined(refusal)
 	}
-	if !s.proxier.spendRetry(s.job.Service) {
+	if !shared && !s.proxier.spendRetry(s.job.Service) {
 		return errNoRetryLeft
 	}
 	return nil
--- a/router/proxier/retries.go
+++ b/router/proxier/retries.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/acquirer"
+	"heatherhold.dev/router/publisher"
 	"heatherhold.dev/router/streamer"
 )
 
@@ -16,6 +18,11 @@
 	Burst float64
 	// Window is the period to which Burst applies; with 0 the burst is allowed once.
 	Window time.Duration
+	// OwnerShare is the share of Ratio and Burst for retries of model requests that the
+	// pool's owner keeps for all instances, 0 to 1. An instance that has none left itself
+	// asks there: a stage that fails takes many streams of some instances at once, and none
+	// of others.
+	OwnerShare float64
 }
 
 const (
@@ -43,7 +50,9 @@
 // budget returns the retry budget of a service, after adding this instance's share
 // of the burst.
 func (x *Proxier) budget(now time.Time, s identifier.Service) *budget {
-	burst := x.Retries.Burst / float64(x.Publisher.View().Instances())
+	v := x.Publisher.View()
+	own := x.ownShare(v, s)
+	burst := own * x.Retries.Burst / float64(v.Instances())
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.budgets == nil {
@@ -53,7 +62,7 @@
 	if !ok {
 		b = &budget{
 			Budget: streamer.Budget{
-				Ratio:     x.Retries.Ratio,
+				Ratio:     own * x.Retries.Ratio,
 				Available: initialRetries,
 			},
 			created:   now,
@@ -74,6 +83,36 @@
 	return b
 }
 
+// ownShare returns the share of a service's retries that the instances keep themselves.
+func (x *Proxier) ownShare(v *publisher.View, s identifier.Service) float64 {
+	if v.Site == nil || v.Site.Services[s].Engine == nil {
+		return 1
+	}
+	return 1 - x.Retries.OwnerShare
+}
+
+// takeRetry takes a retry from this instance's budget or, if none is left there, makes the
+// next question for a chain one for a retry out of the owner's budget as well. It returns
+// false if there is no such budget.
+func (s *stream) takeRetry() bool {
+	s.sharedRetry = !s.proxier.spendRetry(s.job.Service)
+	return !s.sharedRetry || s.proxier.Retries.OwnerShare > 0
+}
+
+// checkShared returns errNoRetryLeft, and gives the ticket back, if it was to include a
+// retry out of the owner's budget and does not, since the owner is of an older build.
+func (s *stream) checkShared(ticket *acquirer.Ticket, shared bool) error {
+	if !shared {
+		return nil
+	}
+	if !ticket.Retry {
+		ticket.Release(acquirer.Outcome{})
+		return errNoRetryLeft
+	}
+	s.proxier.Reporter.CountRetry(s.job.Service)
+	return nil
+}
+
 // spendRetry takes one retry from the service's budget. It returns false if none
 // is left.
 func (x *Proxier) spendRetry(s identifier.Service) bool {
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -54,6 +54,8 @@
 	suspect bool
 	// next is the next attempt, if it has begun already.
 	next *attempt
+	// sharedRetry is set if the next chain is for a retry out of the owner's budget.
+	sharedRetry bool
 
 	mu    sync.Mutex
 	sent  sentTo
@@ -147,7 +149,7 @@
 			return false
 		case <-t.C:
 		}
-		if s.proxier.spendRetry(s.job.Service) {
+		if s.takeRetry() {
 			return true
 		}
 	}
@@ -175,7 +177,7 @@
 	if !notRun && s.runs >= s.job.Route.Attempts {
 		return false
 	}
-	return s.proxier.spendRetry(s.job.Service)
+	return s.takeRetry()
 }
 
 // errCallerWrite reports that writing to the caller failed.
@@ -230,17 +232,28 @@
 func (s *stream) acquireTicket(ctx context.Context) (*acquirer.Ticket, error) {
 	requested := time.Now()
 	defer func() { s.timing.queued += time.Since(requested) }()
-	return s.acquireUnpaused(ctx)
+	shared := s.sharedRetry
+	s.sharedRetry = false
+	return s.acquireUnpaused(ctx, shared)
 }
 
 // acquireUnpaused acquires a chain without the given endpoints that does not start at an
-// endpoint that wants no requests. It may be called while the stream runs.
-func (s *stream) acquireUnpaused(ctx context.Context, avoid ...identifier.EndpointIncarnation) (*acquirer.Ticket, error) {
+// endpoint that wants no requests. If shared is set, it is for a retry out of the owner's
+// budget. It may be called while the stream runs.
+func (s *stream) acquireUnpaused(ctx context.Context, shared bool, avoid ...identifier.EndpointIncarnation) (*acquirer.Ticket, error) {
+	newAsk := func() *messenger.Ask {
+		ask := s.newAsk()
+		ask.Retry = shared
+		return ask
+	}
 	for n := 1; ; n++ {
-		ticket, err := s.acquireListed(ctx, avoid, nil, s.newAsk)
+		ticket, err := s.acquireListed(ctx, avoid, nil, newAsk)
 		if err != nil {
 			return nil, err
 		}
+		if err := s.checkShared(ticket, shared); err != nil {
+			return nil, err
+		}
 		until, paused := s.proxier.Balancer.Paused(time.Now())[ticket.Chain[0].EndpointIncarnation]
 		if !paused {
 			return ticket, nil
@@ -256,8 +269,10 @@
 func (s *stream) newAsk() *messenger.Ask {
 	r := s.job.Request
 	received := s.lastEvent.Load() * int64(s.engine.Stride)
+	n := s.chainsRequested.Add(1)
 	ask := &messenger.Ask{
-		Request:      fmt.Sprintf("%s.%d", r.ID, s.chainsRequested.Add(1)),
+		Request:      fmt.Sprintf("%s.%d", r.ID, n),
+		First:        n == 1,
 		Customer:     string(s.job.Customer),
 		Rank:         string(RankOf(s.job.Order)),
 		Weight:       1,
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -100,6 +100,16 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_repeats_total{service=%q}`, s)).Inc()
 }
 
+// CountSharedRetry counts a retry that an entry wanted out of the budget that the owner of a
+// service's pool keeps for all instances.
+func (r *Reporter) CountSharedRetry(s identifier.Service, granted bool) {
+	outcome := "granted"
+	if !granted {
+		outcome = "refused"
+	}
+	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_shared_retries_total{service=%q,outcome=%q}`, s, outcome)).Inc()
+}
+
 // CountReroute counts a stream that was rerouted to another chain.
 func (r *Reporter) CountReroute(s identifier.Service) {
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_moves_total{service=%q}`, s)).Inc()
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -19,6 +19,7 @@
 	"heatherhold.dev/platform/translator"
 	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/balancer"
+	"heatherhold.dev/router/budgeter"
 	"heatherhold.dev/router/controller"
 	"heatherhold.dev/router/dialer"
 	"heatherhold.dev/router/estimator"
@@ -148,9 +149,10 @@
 		Quarantiner: q,
 		DataCentre:  s.DataCentre,
 		Retries: proxier.Retries{
-			Ratio:  s.Store.RetryRatio * usedRetryShare,
-			Burst:  s.Store.RetryBurst * usedRetryShare,
-			Window: s.Store.RetryWindow.Std(),
+			Ratio:      s.Store.RetryRatio * usedRetryShare,
+			Burst:      s.Store.RetryBurst * usedRetryShare,
+			Window:     s.Store.RetryWindow.Std(),
+			OwnerShare: ownerRetryShare,
 		},
 		MaxBufferedBytes: int64(bufferedResponseShare * float64(s.Store.MemoryMB<<20)),
 		Log:              log,
@@ -184,6 +186,9 @@
 	// usedRetryShare is the share of the allowed retries that all instances together
 	// use.
 	usedRetryShare = 0.6
+	// ownerRetryShare is the share of the retries of model requests that a pool's owner keeps
+	// for all instances. While an owner changes, two of them may spend theirs.
+	ownerRetryShare = 0.5
 	// bufferedResponseShare is the share of the instance's memory that may hold
 	// responses of plain services before they are forwarded.
 	bufferedResponseShare = 0.25
@@ -291,6 +296,12 @@
 		Seeds:             s.Store.Seeds,
 		RetainAfterOutage: s.Store.RetainAfterOutage.Std(),
 	}
+	g.Retries = budgeter.Limits{
+		Ratio:  s.Store.RetryRatio * usedRetryShare * ownerRetryShare,
+		Burst:  s.Store.RetryBurst * usedRetryShare * ownerRetryShare,
+		Window: s.Store.RetryWindow.Std(),
+	}
+	g.OnRetry = p.CountSharedRetry
 	c.OnExchange = p.CountExchange
 	p.Gauge(`heatherhold_registry_rows{state="all"}`, func() float64 {
 		all, _ := c.RegistryRows()
