Schedule each request by what its route promises

Where a customer has an order that no route has, the rank that the controller makes for it had a target of 1 s and a token interval of 0.

An ask now carries a promise: the time until its first token, the longest pause and the time until its deadline, relative to when it is sent. The scheduler takes its waits and token interval from it; the rank gives order, shares and queue limit. An interval of 0 is met by every chain. Asks that are sent again have less time left. Without a promise the terms of the rank apply as before.

A rank that exists only by a customer's order is marked. While it has no requests, its guaranteed share goes to the other ranks, and it isn't the most urgent rank.

Ruled out: giving such a rank the smallest interval of the routes. It would still schedule requests of different routes by one target.

--- a/core/declarer/declaration.go
+++ b/core/declarer/declaration.go
@@ -44,6 +44,9 @@
 	QueueLimit int `toml:"queue-limit"`
 	// MaxWait is how long a request may wait; one that would wait longer is refused.
 	MaxWait identifier.Duration `toml:"max-wait"`
+	// CustomerOnly is set if the rank exists only because a customer has its order. Its
+	// guaranteed share goes to the other ranks while it has no requests.
+	CustomerOnly bool `toml:"-"`
 }
 
 // Service is a service that callers request by name.
--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -57,8 +57,10 @@
 
 // waiter is a request that has no ticket yet.
 type waiter struct {
-	ask    *messenger.Ask
-	result chan result
+	ask *messenger.Ask
+	// askedAt is when the promise of ask was true.
+	askedAt time.Time
+	result  chan result
 }
 
 type result struct {
@@ -77,9 +79,11 @@
 	// work needs the chain, and when the ticket is released.
 	Revoked context.Context
 
-	pool   *pool
-	ask    *messenger.Ask
-	revoke context.CancelFunc
+	pool *pool
+	ask  *messenger.Ask
+	// askedAt is when the promise of ask was true.
+	askedAt time.Time
+	revoke  context.CancelFunc
 }
 
 // Outcome is the result of the use of a ticket, which Release reports to the owner.
@@ -138,14 +142,15 @@
 func (a *Acquirer) Acquire(ctx context.Context, s identifier.Service, ask *messenger.Ask) (*Ticket, error) {
 	p := a.pool(s)
 	w := &waiter{
-		ask:    ask,
-		result: make(chan result, 1),
+		ask:     ask,
+		askedAt: time.Now(),
+		result:  make(chan result, 1),
 	}
 	request := identifier.Request(ask.GetRequest())
 	p.mu.Lock()
 	p.waiting[request] = w
 	p.mu.Unlock()
-	p.out.Add(func(m *messenger.ToOwner) { m.Asks = append(m.Asks, ask) })
+	p.out.Add(func(m *messenger.ToOwner) { m.Asks = append(m.Asks, agedAsk(ask, time.Since(w.askedAt))) })
 	select {
 	case got := <-w.result:
 		return got.ticket, got.err
@@ -176,6 +181,7 @@
 		Chain:   chain,
 		Revoked: revoked,
 		ask:     ask,
+		askedAt: time.Now(),
 		revoke:  revoke,
 	}
 }
@@ -238,7 +244,7 @@
 // held returns the ticket as it is reported to an owner.
 func (t *Ticket) held() *messenger.Held {
 	return &messenger.Held{
-		Ask:   t.ask,
+		Ask:   agedAsk(t.ask, time.Since(t.askedAt)),
 		Chain: granter.StagesOf(t.Chain),
 	}
 }
@@ -326,6 +332,7 @@
 	t.Owner = p.owner
 	t.List = list
 	t.pool = p
+	t.askedAt = w.askedAt
 	p.tickets[request] = t
 	w.result <- result{ticket: t}
 }
@@ -370,7 +377,7 @@
 		m.Limits = append(m.Limits, limitOf(incarnation, l.PerSecond))
 	}
 	for _, w := range p.waiting {
-		m.Asks = append(m.Asks, w.ask)
+		m.Asks = append(m.Asks, agedAsk(w.ask, time.Since(w.askedAt)))
 	}
 	for _, t := range p.tickets {
 		m.Held = append(m.Held, t.held())
--- a/router/controller/declaration.go
+++ b/router/controller/declaration.go
@@ -37,11 +37,7 @@
 		keepMinimum(targets, r.Order, r.Target)
 		keepMinimum(tokenIntervals, r.Order, r.Gap)
 	}
-	for _, customer := range site.Customers {
-		if customer.HasOrder {
-			keepMinimum(targets, customer.Order, 0)
-		}
-	}
+	customerOnly := addCustomerOrders(site, targets)
 	for order, target := range targets {
 		if target <= 0 {
 			target = defaultTarget
@@ -53,6 +49,7 @@
 			GuaranteedShare: guaranteedShare / float64(len(targets)),
 			QueueLimit:      queueLimit,
 			MaxWait:         identifier.DurationOf(maxWaitFactor * target),
+			CustomerOnly:    customerOnly[order],
 		}
 	}
 	for name, s := range site.Services {
@@ -61,6 +58,27 @@
 	return d
 }
 
+// addCustomerOrders adds the orders that customers have and no route that streams, with
+// the smallest target of these routes, and returns them. The targets and token intervals of
+// such a customer's requests come from the promises of the routes, so that these ranks
+// require no interval.
+func addCustomerOrders(site *cataloguer.Configuration, targets map[int]time.Duration) map[int]bool {
+	least := time.Duration(0)
+	for _, target := range targets {
+		if target > 0 && (least == 0 || target < least) {
+			least = target
+		}
+	}
+	added := make(map[int]bool)
+	for _, customer := range site.Customers {
+		if _, ok := targets[customer.Order]; !ok && customer.HasOrder {
+			targets[customer.Order] = least
+			added[customer.Order] = true
+		}
+	}
+	return added
+}
+
 // keepMinimum stores d under order, the urgency, if it is the smallest value above
 // 0 so far. A stored value of 0 or less is replaced by the next value.
 func keepMinimum(minimums map[int]time.Duration, order int, d time.Duration) {
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -206,6 +206,7 @@
 		return
 	}
 	g.learnDepartures(now, session, m)
+	g.logChangedPromises(session, m)
 	g.refresh(p)
 	for _, l := range m.GetLimits() {
 		if err := p.setLimit(now, l, g.Publisher.View().Instances()); err != nil {
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -26,6 +26,7 @@
 		Repairs:  identifier.Request(a.GetMoves()),
 		Terms:    rankOf(a.GetTerms()),
 	}
+	ask.Promise, _ = PromiseOf(a.GetPromise())
 	if a.GetFree() {
 		ask.Tier = identifier.Free
 	}
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -267,6 +267,7 @@
 		DataCentre:   string(s.proxier.DataCentre),
 		Resumed:      s.lastEvent.Load() > r.LastEvent,
 		Terms:        granter.TermsOf(s.job.Rank),
+		Promise:      s.promise(time.Now()),
 	}
 	for _, incarnation := range s.avoided() {
 		ask.Avoid = append(ask.Avoid, markOf(incarnation))
--- a/router/scheduler/ask.go
+++ b/router/scheduler/ask.go
@@ -35,6 +35,9 @@
 	// if it did not send them. They apply if the pool's policy does not declare
 	// the rank.
 	Terms *declarer.Rank
+	// Promise is what the request's route promises its caller; nil if the entry instance
+	// did not send it. The targets of the rank apply then.
+	Promise *Promise
 }
 
 // ActiveTicket is a ticket in use, as an entry instance reports it to a new pool owner.
--- a/router/scheduler/class.go
+++ b/router/scheduler/class.go
@@ -272,6 +272,7 @@
 	for _, c := range p.classOrder {
 		total += c.decayedTokens(now)
 	}
+	total *= p.guaranteeFactor(now)
 	var best *class
 	minRatio := 1.0
 	for _, c := range p.classOrder {
--- a/router/scheduler/preempt.go
+++ b/router/scheduler/preempt.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"heatherhold.dev/core/identifier"
@@ -14,7 +16,7 @@
 // is within its guaranteed share. It never revokes chains of requests that are as
 // urgent, or of a class that is itself within its guaranteed share.
 func (p *Pool) preempt(now time.Time, c *class) {
-	if c.key.tier != identifier.Paying || c.rank.Order > p.mostUrgentOrder() || !p.withinGuarantee(now, c) {
+	if c.key.tier != identifier.Paying || c.rank.Order > p.mostUrgentOrder(now) || !p.withinGuarantee(now, c) {
 		return
 	}
 	pending := 0
@@ -23,10 +25,12 @@
 			pending++
 		}
 	}
-	for range min(p.longWaiting(now, c), maxRevoked) - pending {
-		active := p.victim(now, c)
+	waiting := c.longWaiting(now)
+	waiting = waiting[:min(len(waiting), maxRevoked)]
+	for _, w := range waiting[min(pending, len(waiting)):] {
+		active := p.victim(now, c, w)
 		if active == nil {
-			return
+			continue
 		}
 		active.revoked = true
 		p.decisions = append(p.decisions, Decision{
@@ -36,41 +40,31 @@
 	}
 }
 
-// preemptWaitFraction is the fraction of its maximum wait for which a request
-// waits for a chain to become free before it causes preemption.
-const preemptWaitFraction = 0.25
-
-// longWaiting returns how many requests of c have waited long enough to cause
-// preemption.
-func (p *Pool) longWaiting(now time.Time, c *class) int {
-	minWait := time.Duration(preemptWaitFraction * float64(c.rank.MaxWait.Std()))
-	n := 0
+// longWaiting returns the requests of c that have waited long enough to cause
+// preemption, the one that has waited longest first.
+func (c *class) longWaiting(now time.Time) []*waitingRequest {
+	var out []*waitingRequest
 	for _, u := range c.customers {
 		for _, w := range u.queue {
-			if now.Sub(w.since) >= minWait {
-				n++
+			if now.Sub(w.since) >= c.targetsOf(w.ask).preemptWait {
+				out = append(out, w)
 			}
 		}
 	}
-	return n
-}
-
-// mostUrgentOrder returns the order of the most urgent declared rank.
-func (p *Pool) mostUrgentOrder() int {
-	order := int(^uint(0) >> 1)
-	for _, r := range p.policy.Ranks {
-		order = min(order, r.Order)
-	}
-	return order
+	slices.SortFunc(out, func(a, b *waitingRequest) int {
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.ask.Request, b.ask.Request))
+	})
+	return out
 }
 
-// victim returns the active request to preempt for c: of those that may be
-// preempted and whose chain meets c's target, the last to start in the least
-// urgent class; nil if there is none.
-func (p *Pool) victim(now time.Time, c *class) *activeRequest {
+// victim returns the active request to preempt for request w of c: of those that may
+// be preempted and whose chain meets the token interval of w, the last to start in the
+// least urgent class; nil if there is none.
+func (p *Pool) victim(now time.Time, c *class, w *waitingRequest) *activeRequest {
+	interval := c.targetsOf(w.ask).betweenTokens
 	var best *activeRequest
 	for _, active := range p.active {
-		if active.revoked || !c.before(active.class) || active.class.rank.Order == c.rank.Order || p.withinGuarantee(now, active.class) || !p.meetsTarget(c, active.chain) {
+		if active.revoked || !c.before(active.class) || active.class.rank.Order == c.rank.Order || p.withinGuarantee(now, active.class) || !p.meetsInterval(interval, active.chain) {
 			continue
 		}
 		if best == nil || betterVictim(active, best) {
@@ -101,5 +95,5 @@
 	for _, other := range p.classOrder {
 		total += other.decayedTokens(now)
 	}
-	return c.decayedTokens(now) <= total*c.guarantee
+	return c.decayedTokens(now) <= total*p.guaranteeFactor(now)*c.guarantee
 }
--- /dev/null
+++ b/router/scheduler/promise.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"time"
+)
+
+// Promise is what a request's route promises its caller. The times count from when the
+// ask arrives.
+type Promise struct {
+	// FirstToken is the time until the first token is due; negative once it is past due.
+	FirstToken time.Duration
+	// BetweenTokens is the longest pause between two events; 0 if none is declared.
+	BetweenTokens time.Duration
+	// Remaining is the time until the request's deadline.
+	Remaining time.Duration
+}
+
+// targets are the times by which one request is scheduled. They come from its promise
+// or, if it has none, from the terms of its rank.
+type targets struct {
+	// longestWait is how long the request may wait for a chain.
+	longestWait time.Duration
+	// fasterChainWait is how long the request waits for a chain that meets its interval
+	// while a slower one is free.
+	fasterChainWait time.Duration
+	// preemptWait is how long the request waits for a chain to become free before it
+	// causes preemption.
+	preemptWait time.Duration
+	// betweenTokens is the required token interval; 0 if none is required.
+	betweenTokens time.Duration
+}
+
+const (
+	// targetWaitFraction is the fraction of its wait limit for which a request of the
+	// most urgent rank waits for a chain that meets its target while a slower one is
+	// free.
+	targetWaitFraction = 0.5
+	// preemptWaitFraction is the fraction of its wait limit for which a request waits
+	// for a chain to become free before it causes preemption.
+	preemptWaitFraction = 0.25
+	// waitFactor is the wait limit of a request with a promise, as a multiple of the
+	// time until its first token is due.
+	waitFactor = 2
+)
+
+// targetsOf returns the targets of a request of class c.
+func (c *class) targetsOf(a Ask) targets {
+	limit := c.rank.MaxWait.Std()
+	longest := limit
+	interval := c.rank.BetweenTokens.Std()
+	if a.Promise != nil {
+		limit = waitFactor * max(a.Promise.FirstToken, 0)
+		// A request that is sent again has a part of its target left, or nothing. It may
+		// wait as long as others of its rank.
+		longest = min(max(limit, longest), max(a.Promise.Remaining, 0))
+		interval = a.Promise.BetweenTokens
+	}
+	if a.Resumed {
+		longest = maxResumedWait
+	}
+	return targets{
+		longestWait:     longest,
+		fasterChainWait: scale(limit, targetWaitFraction),
+		preemptWait:     scale(limit, preemptWaitFraction),
+		betweenTokens:   interval,
+	}
+}
+
+// idle reports whether c had no requests of late.
+func (c *class) idle(now time.Time) bool {
+	return c.waiting == 0 && c.decayedTokens(now) < 1
+}
+
+// guaranteeFactor returns the factor by which the guaranteed shares are larger at now than
+// declared: what is reserved for ranks that exist only because a customer has their order
+// goes to the other ranks while these ranks have no requests.
+func (p *Pool) guaranteeFactor(now time.Time) float64 {
+	declared, reserved := p.guaranteedShare, p.customerOnlyShare
+	if reserved <= 0 || reserved >= declared {
+		return 1
+	}
+	for _, c := range p.classOrder {
+		if c.rank.CustomerOnly && !c.idle(now) {
+			reserved -= c.guarantee
+		}
+	}
+	return declared / (declared - max(reserved, 0))
+}
+
+// updateShares calculates the sums of the guaranteed shares.
+func (p *Pool) updateShares() {
+	p.guaranteedShare, p.customerOnlyShare = 0, 0
+	for _, r := range p.policy.Ranks {
+		p.guaranteedShare += r.GuaranteedShare
+		if r.CustomerOnly {
+			p.customerOnlyShare += r.GuaranteedShare
+		}
+	}
+}
+
+// mostUrgentOrder returns the order of the most urgent declared rank. A rank that exists
+// only because a customer has its order counts while it has requests.
+func (p *Pool) mostUrgentOrder(now time.Time) int {
+	order := int(^uint(0) >> 1)
+	for _, r := range p.policy.Ranks {
+		if !r.CustomerOnly {
+			order = min(order, r.Order)
+		}
+	}
+	for _, c := range p.classOrder {
+		if c.rank.CustomerOnly && !c.idle(now) {
+			order = min(order, c.rank.Order)
+		}
+	}
+	return order
+}
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -294,11 +294,13 @@
 	return chain
 }
 
-// meetsTarget reports whether a chain, with all slots in use, produces tokens at
-// the target of class c. Of an endpoint's layers, only those that the chain uses
-// count.
-func (p *Pool) meetsTarget(c *class, chain []identifier.Stage) bool {
-	target := c.rank.BetweenTokens.Std()
+// meetsInterval reports whether a chain, with all slots in use, produces tokens at
+// the given interval; every chain does if the interval is 0. Of an endpoint's layers,
+// only those that the chain uses count.
+func (p *Pool) meetsInterval(interval time.Duration, chain []identifier.Stage) bool {
+	if interval <= 0 {
+		return true
+	}
 	total := time.Duration(0)
 	links := observedLinks{pool: p}
 	for i, s := range chain {
@@ -313,7 +315,7 @@
 			}
 		}
 	}
-	return total <= target
+	return total <= interval
 }
 
 // saturated reports whether no chain has a free slot, for a request that avoids no
@@ -331,7 +333,7 @@
 // estimateWait predicts how long a request would wait for the queued work ahead of
 // it, at the token rate that the pool can sustain.
 func (p *Pool) estimateWait(now time.Time, c *class, w *waitingRequest) time.Duration {
-	ahead := p.tokensAhead(c, w)
+	ahead := p.tokensAhead(now, c, w)
 	if paced := p.paceWait(len(p.waiting)); paced > 0 {
 		return paced
 	}
@@ -348,7 +350,8 @@
 // tokensAhead returns the tokens of the queued work that would be served before w: of
 // the classes before c, of c, and of the classes after c for their guaranteed shares.
 // If c has a guaranteed share, the others get no more than that leaves them.
-func (p *Pool) tokensAhead(c *class, w *waitingRequest) float64 {
+func (p *Pool) tokensAhead(now time.Time, c *class, w *waitingRequest) float64 {
+	factor := p.guaranteeFactor(now)
 	sum := 0.0
 	guaranteed := 0.0
 	for _, other := range p.classOrder {
@@ -359,13 +362,13 @@
 	}
 	for _, other := range p.classOrder {
 		if other != c && other.waiting > 0 && !other.before(c) {
-			guaranteed += other.guarantee
+			guaranteed += factor * other.guarantee
 		}
 	}
 	sum += c.tokensBefore(w)
 	sum /= math.Max(1-guaranteed, minWeight)
 	if c.guarantee > 0 {
-		sum = math.Min(sum, (c.tokensBefore(w))/c.guarantee)
+		sum = math.Min(sum, c.tokensBefore(w)/(factor*c.guarantee))
 	}
 	return sum
 }
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -36,6 +36,11 @@
 // policy until Configure is called.
 type Pool struct {
 	policy Policy
+	// guaranteedShare is the sum of the guaranteed shares of the policy's ranks, and
+	// customerOnlyShare that of the ranks that exist only because a customer has their
+	// order.
+	guaranteedShare   float64
+	customerOnlyShare float64
 
 	// runners is in the order of planner.SortByEnd; runnerStates holds the state of
 	// each, and runnerIndex where each is.
@@ -161,6 +166,7 @@
 func (p *Pool) Configure(policy Policy) {
 	p.prepare()
 	p.policy = policy
+	p.updateShares()
 	p.updateCapacity()
 	for _, c := range p.classOrder {
 		rank, ok := policy.Ranks[c.key.rank]
@@ -186,17 +192,13 @@
 	}
 	c := p.classOf(a)
 	p.applyTerms(c, a)
-	rank := c.rank
 	w := &waitingRequest{
 		ask:      a,
 		cost:     p.cost(a),
 		since:    now,
-		deadline: now.Add(rank.MaxWait.Std()),
+		deadline: now.Add(c.targetsOf(a).longestWait),
 	}
-	if a.Resumed {
-		w.deadline = now.Add(maxResumedWait)
-	}
-	if !a.Resumed && !p.admit(now, c, w, rank) {
+	if !a.Resumed && !p.admit(now, c, w) {
 		return
 	}
 	p.waiting[a.Request] = w
@@ -212,23 +214,24 @@
 
 // admit refuses a request that exceeds its customer's queue limit or that is not
 // expected to start in time. It reports whether the request may be queued.
-func (p *Pool) admit(now time.Time, c *class, w *waitingRequest, rank declarer.Rank) bool {
-	if c.queueLength(w.ask.Customer) >= rank.QueueLimit {
-		p.refuse(w.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", rank.QueueLimit), rank.MaxWait.Std())
+func (p *Pool) admit(now time.Time, c *class, w *waitingRequest) bool {
+	longest := c.targetsOf(w.ask).longestWait
+	if limit := c.rank.QueueLimit; c.queueLength(w.ask.Customer) >= limit {
+		p.refuse(w.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", limit), longest)
 		return false
 	}
 	wait := p.estimateWait(now, c, w)
-	if wait > rank.MaxWait.Std() {
-		p.refuse(w.ask.Request, classifier.Overloaded, p.tooLongDetail(wait, rank), wait-rank.MaxWait.Std())
+	if wait > longest {
+		p.refuse(w.ask.Request, classifier.Overloaded, p.tooLongDetail(wait, longest), wait-longest)
 		return false
 	}
 	return true
 }
 
 // tooLongDetail returns the detail text for a request that could not start in time.
-func (p *Pool) tooLongDetail(wait time.Duration, rank declarer.Rank) string {
+func (p *Pool) tooLongDetail(wait, longest time.Duration) string {
 	return fmt.Sprintf("the request could not start in time: a wait of %v is expected behind %d waiting and %d running requests, and at most %v is allowed",
-		wait.Round(time.Millisecond), len(p.waiting), len(p.active), rank.MaxWait.Std())
+		wait.Round(time.Millisecond), len(p.waiting), len(p.active), longest)
 }
 
 func (p *Pool) refuse(r identifier.Request, kind classifier.Kind, detail string, after time.Duration) {
@@ -354,19 +357,14 @@
 	})
 }
 
-// targetWaitFraction is the fraction of its maximum wait for which a request of the
-// most urgent rank waits for a chain that meets its target while a slower one is
-// free.
-const targetWaitFraction = 0.5
-
 // tooSlow reports whether chain is too slow for a request that can still wait for a
 // faster one.
 func (p *Pool) tooSlow(now time.Time, c *class, w *waitingRequest, chain []identifier.Stage) bool {
-	if c.rank.Order > p.mostUrgentOrder() || w.ask.Resumed || p.meetsTarget(c, chain) {
+	t := c.targetsOf(w.ask)
+	if c.rank.Order > p.mostUrgentOrder(now) || w.ask.Resumed || p.meetsInterval(t.betweenTokens, chain) {
 		return false
 	}
-	targetWait := time.Duration(targetWaitFraction * float64(c.rank.MaxWait.Std()))
-	return now.Sub(w.since) < targetWait
+	return now.Sub(w.since) < t.fasterChainWait
 }
 
 func (p *Pool) start(now time.Time, c *class, w *waitingRequest, chain []identifier.Stage) {
@@ -399,7 +397,7 @@
 	for _, c := range p.classOrder {
 		for _, w := range c.removeExpired(now) {
 			delete(p.waiting, w.ask.Request)
-			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited longer than its limit of %v", c.rank.MaxWait.Std())
+			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited longer than its limit of %v", w.deadline.Sub(w.since))
 			if !p.covered() {
 				kind, detail = classifier.NoChain, "no chain of endpoints covers every layer"
 			}
