Serve what can still be on time first; refuse by deadline and expected wait

While the capacity was less than the demand, each class served in order of arrival, and a request waited for at most twice its target. All that were served were then late, and the others were refused although their deadlines left time.

Within a class, requests that can still be on time now go first, by the predicted time to the first token at the mean pace and, before a grant, on the chain itself. Late ones wait behind them until their deadline leaves no time for their predicted run. A request that would find no capacity until then is refused at once. The rate at which a full queue is served counts only the active requests, since the memory and not the slots may limit it. Retry-After is the expected time until the work ahead is done, times a random factor of 1 to 1.5.

--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -143,7 +144,7 @@
 	}
 	p := &pool{
 		key:              key,
-		scheduler:        &scheduler.Pool{},
+		scheduler:        &scheduler.Pool{Random: rand.Float64},
 		sessionByRequest: make(map[identifier.Request]*Session),
 		expiries:         make(map[identifier.Request]time.Time),
 		sessions:         make(map[*Session]bool),
--- a/router/scheduler/class.go
+++ b/router/scheduler/class.go
@@ -42,6 +42,25 @@
 	service    float64
 	queue      []*waitingRequest
 	queuedCost float64
+	// late holds the requests that can no longer be on time, which are served after those
+	// in queue; lateCost is the part of queuedCost that is theirs.
+	late     []*waitingRequest
+	lateCost float64
+}
+
+// waiting returns the number of the customer's waiting requests.
+func (u *account) waiting() int {
+	return len(u.queue) + len(u.late)
+}
+
+// cost returns the cost of the customer's waiting requests, and onTimeCost that of those that
+// can be on time.
+func (u *account) cost() float64 {
+	return u.queuedCost
+}
+
+func (u *account) onTimeCost() float64 {
+	return u.queuedCost - u.lateCost
 }
 
 // classOf returns the class of a, creating it on first use.
@@ -148,7 +167,7 @@
 
 func (c *class) push(w *waitingRequest) {
 	u := c.account(w.ask.Customer, w.ask.Weight)
-	if len(u.queue) == 0 {
+	if u.waiting() == 0 {
 		u.service = math.Max(u.service, c.serviceFloor)
 	}
 	u.queue = append(u.queue, w)
@@ -160,11 +179,18 @@
 
 func (c *class) remove(w *waitingRequest) {
 	u := c.customers[w.ask.Customer]
-	i := slices.Index(u.queue, w)
+	queue := &u.queue
+	if w.late {
+		queue = &u.late
+	}
+	i := slices.Index(*queue, w)
 	if i < 0 {
 		return
 	}
-	u.queue = slices.Delete(u.queue, i, i+1)
+	*queue = slices.Delete(*queue, i, i+1)
+	if w.late {
+		u.lateCost -= w.cost
+	}
 	u.queuedCost -= w.cost
 	c.waiting--
 	c.queuedCost -= w.cost
@@ -183,7 +209,7 @@
 func (c *class) raiseFloor() {
 	minService := math.Inf(1)
 	for _, u := range c.customers {
-		if len(u.queue) > 0 {
+		if u.waiting() > 0 {
 			minService = math.Min(minService, u.service)
 		}
 	}
@@ -197,15 +223,16 @@
 	if !ok {
 		return 0
 	}
-	return len(u.queue)
+	return u.waiting()
 }
 
 // queueHeads returns the first waiting request of each customer, ordered by the
-// customer's service, lowest first.
+// customer's service, lowest first: of those that can be on time, and then of those that
+// can't.
 func (c *class) queueHeads() []*waitingRequest {
 	var waiting []*account
 	for _, u := range c.customers {
-		if len(u.queue) > 0 {
+		if u.waiting() > 0 {
 			waiting = append(waiting, u)
 		}
 	}
@@ -217,7 +244,14 @@
 	})
 	heads := make([]*waitingRequest, 0, len(waiting))
 	for _, u := range waiting {
-		heads = append(heads, u.queue[0])
+		if len(u.queue) > 0 {
+			heads = append(heads, u.queue[0])
+		}
+	}
+	for _, u := range waiting {
+		if len(u.late) > 0 {
+			heads = append(heads, u.late[0])
+		}
 	}
 	return heads
 }
@@ -226,9 +260,11 @@
 func (c *class) removeExpired(now time.Time) []*waitingRequest {
 	var out []*waitingRequest
 	for _, u := range c.customers {
-		for _, w := range u.queue {
-			if now.After(w.deadline) {
-				out = append(out, w)
+		for _, queue := range [][]*waitingRequest{u.queue, u.late} {
+			for _, w := range queue {
+				if now.After(w.deadline) {
+					out = append(out, w)
+				}
 			}
 		}
 	}
--- a/router/scheduler/preempt.go
+++ b/router/scheduler/preempt.go
@@ -41,7 +41,7 @@
 }
 
 // longWaiting returns the requests of c that have waited long enough to cause
-// preemption, the one that has waited longest first.
+// preemption, the one that has waited longest first. One that can't be on time causes none.
 func (c *class) longWaiting(now time.Time) []*waitingRequest {
 	var out []*waitingRequest
 	for _, u := range c.customers {
--- a/router/scheduler/promise.go
+++ b/router/scheduler/promise.go
@@ -18,8 +18,6 @@
 // targets are the times by which one request is scheduled. They come from its promise
 // or, if it has none, from the terms of its rank.
 type targets struct {
-	// longestWait is how long the request may wait for a chain.
-	longestWait time.Duration
 	// fasterChainWait is how long the request waits for a chain that meets its interval
 	// while a slower one is free.
 	fasterChainWait time.Duration
@@ -38,28 +36,32 @@
 	// preemptWaitFraction is the fraction of its wait limit for which a request waits
 	// for a chain to become free before it causes preemption.
 	preemptWaitFraction = 0.25
-	// waitFactor is the wait limit of a request with a promise, as a multiple of the
-	// time until its first token is due.
+	// waitFactor is the wait limit to which these fractions refer for a request with a
+	// promise, as a multiple of the time until its first token is due.
 	waitFactor = 2
 )
 
+// longestWait returns how long a request of class c that arrives now may wait for a chain.
+// One with a promise may be late, but its deadline has to leave time for its whole response.
+func (p *Pool) longestWait(c *class, a Ask) time.Duration {
+	switch {
+	case a.Resumed:
+		return maxResumedWait
+	case a.Promise != nil:
+		return max(a.Promise.Remaining-p.runTime(a), minPromisedWait)
+	}
+	return c.rank.MaxWait.Std()
+}
+
 // targetsOf returns the targets of a request of class c.
 func (c *class) targetsOf(a Ask) targets {
 	limit := c.rank.MaxWait.Std()
-	longest := limit
 	interval := c.rank.BetweenTokens.Std()
 	if a.Promise != nil {
 		limit = waitFactor * max(a.Promise.FirstToken, 0)
-		// A request that is sent again has a part of its target left, or nothing. It may
-		// wait as long as others of its rank.
-		longest = min(max(limit, longest), max(a.Promise.Remaining, 0))
 		interval = a.Promise.BetweenTokens
 	}
-	if a.Resumed {
-		longest = maxResumedWait
-	}
 	return targets{
-		longestWait:     longest,
 		fasterChainWait: scale(limit, targetWaitFraction),
 		preemptWait:     scale(limit, preemptWaitFraction),
 		betweenTokens:   interval,
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -131,6 +131,7 @@
 func (p *Pool) updateCapacity() {
 	p.capacity = planner.Capacity(p.runners, p.policy.Layers, p.policy.Version)
 	p.working = working{}
+	p.pace.update(&p.policy, p.runners)
 }
 
 // working is the token rate that the endpoints that get work can sustain.
@@ -333,7 +334,10 @@
 // estimateWait predicts how long a request would wait for the queued work ahead of
 // it, at the token rate that the pool can sustain.
 func (p *Pool) estimateWait(now time.Time, c *class, w *waitingRequest) time.Duration {
-	ahead := p.tokensAhead(now, c, w)
+	if w.ask.Promise != nil {
+		return p.estimatePromisedWait(now, c, w)
+	}
+	ahead := p.tokensAhead(now, c, w, (*account).cost)
 	if paced := p.paceWait(len(p.waiting)); paced > 0 {
 		return paced
 	}
@@ -349,8 +353,9 @@
 
 // tokensAhead returns the tokens of the queued work that would be served before w: of
 // the classes before c, of c, and of the classes after c for their guaranteed shares.
-// If c has a guaranteed share, the others get no more than that leaves them.
-func (p *Pool) tokensAhead(now time.Time, c *class, w *waitingRequest) float64 {
+// If c has a guaranteed share, the others get no more than that leaves them. cost returns
+// which of the queued work of a customer of c counts.
+func (p *Pool) tokensAhead(now time.Time, c *class, w *waitingRequest, cost func(*account) float64) float64 {
 	factor := p.guaranteeFactor(now)
 	sum := 0.0
 	guaranteed := 0.0
@@ -365,26 +370,27 @@
 			guaranteed += factor * other.guarantee
 		}
 	}
-	sum += c.tokensBefore(w)
+	own := c.tokensBefore(w, cost)
+	sum += own
 	sum /= math.Max(1-guaranteed, minWeight)
 	if c.guarantee > 0 {
-		sum = math.Min(sum, c.tokensBefore(w)/(factor*c.guarantee))
+		sum = math.Min(sum, own/(factor*c.guarantee))
 	}
 	return sum
 }
 
 // tokensBefore returns the tokens that c would serve before w if its customers are
 // served in turn, in proportion to their weights.
-func (c *class) tokensBefore(w *waitingRequest) float64 {
+func (c *class) tokensBefore(w *waitingRequest, cost func(*account) float64) float64 {
 	own := 0.0
 	if u, ok := c.customers[w.ask.Customer]; ok {
-		own = u.queuedCost
+		own = cost(u)
 	}
 	weight := math.Max(w.ask.Weight, minWeight)
 	sum := own
 	for name, u := range c.customers {
 		if name != w.ask.Customer {
-			sum += math.Min(u.queuedCost, (own+w.cost)*u.weight/weight)
+			sum += math.Min(cost(u), (own+w.cost)*u.weight/weight)
 		}
 	}
 	return sum
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -35,6 +35,10 @@
 // Pool schedules the requests of one service. The zero value is usable and has no
 // policy until Configure is called.
 type Pool struct {
+	// Random, if it is set, returns random numbers of at least 0 and less than 1, by which
+	// refused callers are told to return at different times.
+	Random func() float64
+
 	policy Policy
 	// guaranteedShare is the sum of the guaranteed shares of the policy's ranks, and
 	// customerOnlyShare that of the ranks that exist only because a customer has their
@@ -51,6 +55,7 @@
 	// capacity is the token rate that the pool can sustain, in tokens a second.
 	capacity float64
 	working  working
+	pace     pace
 	// unplaceable is the least size of a request that found no chain in the present
 	// round of decisions.
 	unplaceable identifier.Tokens
@@ -78,6 +83,10 @@
 	cost     float64
 	since    time.Time
 	deadline time.Time
+	// lateAt is when the request can no longer be on time; zero if it has no promise. late
+	// is set once it is behind the requests that can be.
+	lateAt time.Time
+	late   bool
 }
 
 // activeRequest is a request that holds a chain.
@@ -92,6 +101,8 @@
 	reservedTokens identifier.Tokens
 	since          time.Time
 	revoked        bool
+	// fromQueue is set if the run began when this pool granted the chain.
+	fromQueue bool
 	// stalled is set while the request makes no progress; its load is not counted.
 	stalled bool
 }
@@ -196,7 +207,8 @@
 		ask:      a,
 		cost:     p.cost(a),
 		since:    now,
-		deadline: now.Add(c.targetsOf(a).longestWait),
+		deadline: now.Add(p.longestWait(c, a)),
+		lateAt:   p.lateTime(now, a),
 	}
 	if !a.Resumed && !p.admit(now, c, w) {
 		return
@@ -215,14 +227,14 @@
 // admit refuses a request that exceeds its customer's queue limit or that is not
 // expected to start in time. It reports whether the request may be queued.
 func (p *Pool) admit(now time.Time, c *class, w *waitingRequest) bool {
-	longest := c.targetsOf(w.ask).longestWait
-	if limit := c.rank.QueueLimit; c.queueLength(w.ask.Customer) >= limit {
-		p.refuse(w.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", limit), longest)
+	longest := w.deadline.Sub(w.since)
+	if limit := c.rank.QueueLimit; c.queueLength(w.ask.Customer) >= limit && !p.makeRoom(now, c, w) {
+		p.refuse(w.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", limit), p.retryAfter(now, c, w, longest))
 		return false
 	}
 	wait := p.estimateWait(now, c, w)
 	if wait > longest {
-		p.refuse(w.ask.Request, classifier.Overloaded, p.tooLongDetail(wait, longest), wait-longest)
+		p.refuse(w.ask.Request, classifier.Overloaded, p.tooLongDetail(wait, longest), p.retryAfter(now, c, w, wait-longest))
 		return false
 	}
 	return true
@@ -273,6 +285,9 @@
 	active.class.addRecent(now, used-active.cost)
 	if o.Tokens > 0 && o.Failed.Endpoint == "" && !active.revoked {
 		p.recordLength(active.ask, o.Tokens)
+		if active.ask.Promise != nil && active.fromQueue {
+			p.pace.observe(active.ask, o.Tokens, now.Sub(active.since))
+		}
 	}
 	p.observeGap(active, o)
 }
@@ -330,8 +345,9 @@
 
 // grantFrom starts one request of c: of the first waiting request of each customer,
 // in order of the customers' service, the first that finds a chain. It reports
-// whether one started.
+// whether one started. Those that can't be on time come after the others.
 func (p *Pool) grantFrom(now time.Time, c *class) bool {
+	marked := false
 	for _, w := range c.queueHeads() {
 		if now.Sub(w.since) > maxAvoidTime {
 			w.ask.Avoid = nil
@@ -340,12 +356,21 @@
 		if chain == nil || p.tooSlow(now, c, w, chain) {
 			continue
 		}
+		if p.startsLate(now, w, chain) {
+			c.markLate(w)
+			marked = true
+			continue
+		}
 		c.remove(w)
 		delete(p.waiting, w.ask.Request)
 		p.start(now, c, w, chain)
 		p.grant(w.ask.Request, chain)
 		return true
 	}
+	if marked {
+		// Those that were moved may be served after the others that can be on time.
+		return p.grantFrom(now, c)
+	}
 	return false
 }
 
@@ -361,10 +386,15 @@
 // faster one.
 func (p *Pool) tooSlow(now time.Time, c *class, w *waitingRequest, chain []identifier.Stage) bool {
 	t := c.targetsOf(w.ask)
-	if c.rank.Order > p.mostUrgentOrder(now) || w.ask.Resumed || p.meetsInterval(t.betweenTokens, chain) {
+	if c.rank.Order > p.mostUrgentOrder(now) || w.ask.Resumed || w.late || p.meetsInterval(t.betweenTokens, chain) {
 		return false
 	}
-	return now.Sub(w.since) < t.fasterChainWait
+	wait := t.fasterChainWait
+	if !w.lateAt.IsZero() {
+		// The slow chain must still serve the request on time if no other becomes free.
+		wait = min(wait, scale(w.lateAt.Sub(w.since), targetWaitFraction))
+	}
+	return now.Sub(w.since) < wait
 }
 
 func (p *Pool) start(now time.Time, c *class, w *waitingRequest, chain []identifier.Stage) {
@@ -378,6 +408,7 @@
 		cost:           w.cost,
 		reservedTokens: need.Tokens(),
 		since:          now,
+		fromQueue:      !w.since.IsZero() && w.ask.Repairs == "",
 	}
 	p.active[w.ask.Request] = active
 	if w.ask.Repairs == "" {
@@ -392,7 +423,8 @@
 	}
 }
 
-// expire refuses the requests whose deadline has passed.
+// expire refuses the requests whose deadline has passed, and moves those that can no longer
+// be on time behind the others.
 func (p *Pool) expire(now time.Time) {
 	for _, c := range p.classOrder {
 		for _, w := range c.removeExpired(now) {
@@ -401,8 +433,9 @@
 			if !p.covered() {
 				kind, detail = classifier.NoChain, "no chain of endpoints covers every layer"
 			}
-			p.refuse(w.ask.Request, kind, detail, time.Second)
+			p.refuse(w.ask.Request, kind, detail, p.retryAfter(now, c, w, time.Second))
 		}
+		c.updateLate(now)
 	}
 }
 
