Predict the length of a response also from the caller's estimate

Memory is reserved by the predicted length of the response: the mean of the customer's responses in that rank. Where a customer has short and long responses, that reserves too much for most requests and too little for the others.

--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -20,11 +20,13 @@
 		Entry:    identifier.DataCentre(a.GetDataCentre()),
 		Prompt:   identifier.Tokens(a.GetPromptTokens()),
 		Output:   identifier.Tokens(a.GetOutputTokens()),
-		Prefix:   a.GetPrefix(),
-		Version:  identifier.Version(a.GetVersion()),
-		Resumed:  a.GetResumed(),
-		Repairs:  identifier.Request(a.GetMoves()),
-		Terms:    rankOf(a.GetTerms()),
+		// An estimate over the limit of the response is as good as the limit.
+		OutputHint: identifier.Tokens(max(0, min(a.GetOutputHint(), a.GetOutputTokens()))),
+		Prefix:     a.GetPrefix(),
+		Version:    identifier.Version(a.GetVersion()),
+		Resumed:    a.GetResumed(),
+		Repairs:    identifier.Request(a.GetMoves()),
+		Terms:      rankOf(a.GetTerms()),
 	}
 	ask.Promise, _ = PromiseOf(a.GetPromise())
 	if a.GetFree() {
--- a/router/proxier/promise_test.go
+++ b/router/proxier/promise_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -19,7 +20,9 @@
 	})
 	good := newEndpoint(t, "b", reply(http.StatusOK, "Content-Type: text/event-stream\r\n", "id: 1\n\n"))
 	f := newFixture(cataloguer.Resumable, true, broken, good)
-	if _, _, err := f.serve(t.Context(), 2*time.Second); err != nil {
+	job := f.job(2 * time.Second)
+	job.Request.OutputHint = 40
+	if _, err := f.proxier.Serve(t.Context(), httptest.NewRecorder(), job); err != nil {
 		t.Fatal(err)
 	}
 	if got, want := len(f.tickets.asks), 2; got != want {
@@ -29,6 +32,9 @@
 	if got, want := first.GetFirstTokenMs(), f.route.Target.Milliseconds(); got > want || got <= 0 {
 		t.Errorf("first token: got %d ms, want at most %d and more than 0", got, want)
 	}
+	if got, want := f.tickets.asks[0].GetOutputHint(), int64(40); got != want {
+		t.Errorf("estimate: got %d tokens, want %d", got, want)
+	}
 	if got, want := second.GetBetweenTokensMs(), f.route.Gap.Milliseconds(); got != want {
 		t.Errorf("interval: got %d ms, want %d", got, want)
 	}
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -263,6 +263,7 @@
 		Weight:       1,
 		PromptTokens: int64(r.Prompt) + received,
 		OutputTokens: max(int64(r.Output)-received, 1),
+		OutputHint:   max(int64(r.OutputHint)-received, 0),
 		Prefix:       xxhash.Sum64String(r.Prefix),
 		DataCentre:   string(s.proxier.DataCentre),
 		Resumed:      s.lastEvent.Load() > r.LastEvent,
--- a/router/scheduler/ask.go
+++ b/router/scheduler/ask.go
@@ -17,6 +17,9 @@
 	Prompt identifier.Tokens
 	// Output is the maximum number of tokens in the response.
 	Output identifier.Tokens
+	// OutputHint is the caller's estimate of the number of tokens in the response; 0 if it
+	// gave none.
+	OutputHint identifier.Tokens
 	// Version is the model version that the request must stay on; empty means the
 	// declared one.
 	Version identifier.Version
--- a/router/scheduler/late.go
+++ b/router/scheduler/late.go
@@ -76,7 +76,7 @@
 
 // runTime returns the predicted time that a takes from the grant to its last token.
 func (p *Pool) runTime(a Ask) time.Duration {
-	return p.pace.observed(p.pace.run(a, p.predictLength(a)))
+	return p.pace.observed(p.pace.run(a, p.lengths.predict(a)))
 }
 
 // lateTime returns when a, which arrives at now, can no longer be on time; the zero time if
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -252,7 +252,7 @@
 		Partial: p.policy.Partial,
 		Version: version,
 		Prompt:  a.Prompt,
-		Output:  identifier.Tokens(math.Ceil(p.predictLength(a))),
+		Output:  identifier.Tokens(math.Ceil(p.lengths.predict(a))),
 		Entry:   a.Entry,
 		Avoid:   a.Avoid,
 	}
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -13,7 +13,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"heatherhold.dev/core/classifier"
@@ -62,19 +61,14 @@
 	// cachedSet is set if a runner may have a Cached other than 0.
 	cachedSet bool
 
-	classes          map[classKey]*class
-	classOrder       []*class
-	active           map[identifier.Request]*activeRequest
-	waiting          map[identifier.Request]*waitingRequest
-	predictedLengths map[lengthKey]float64
-	prefixes         *prefixIndex
-	decisions        []Decision
-	extraDelays      map[linkKey]float64
-}
-
-type lengthKey struct {
-	customer identifier.Customer
-	rank     identifier.Rank
+	classes     map[classKey]*class
+	classOrder  []*class
+	active      map[identifier.Request]*activeRequest
+	waiting     map[identifier.Request]*waitingRequest
+	lengths     *lengths
+	prefixes    *prefixIndex
+	decisions   []Decision
+	extraDelays map[linkKey]float64
 }
 
 // waitingRequest is a request that waits for a chain.
@@ -111,11 +105,6 @@
 const (
 	// promptTokenCost is the cost of a prompt token, in output tokens.
 	promptTokenCost = 0.05
-	// defaultLength is the predicted number of tokens of a response before any
-	// response has been observed.
-	defaultLength = 64.0
-	// lengthGain is the smoothing factor of the predicted response lengths.
-	lengthGain = 0.2
 	// recentWindow is the time constant of the decay of a class's recent tokens.
 	recentWindow = 5 * time.Second
 	// maxAvoidTime is how long a request waits for a chain without the endpoints on
@@ -128,32 +117,7 @@
 
 // cost returns the predicted cost of a request, in output tokens.
 func (p *Pool) cost(a Ask) float64 {
-	return float64(a.Prompt)*promptTokenCost + p.predictLength(a)
-}
-
-// predictLength returns the predicted number of tokens of the response to a.
-func (p *Pool) predictLength(a Ask) float64 {
-	n, ok := p.predictedLengths[lengthKey{
-		customer: a.Customer,
-		rank:     a.Rank,
-	}]
-	if !ok {
-		n = defaultLength
-	}
-	return math.Min(n, float64(a.Output))
-}
-
-// recordLength updates the predicted response length of the customer and rank of a.
-func (p *Pool) recordLength(a Ask, tokens identifier.Tokens) {
-	key := lengthKey{
-		customer: a.Customer,
-		rank:     a.Rank,
-	}
-	old, ok := p.predictedLengths[key]
-	if !ok {
-		old = defaultLength
-	}
-	p.predictedLengths[key] = old + lengthGain*(float64(tokens)-old)
+	return float64(a.Prompt)*promptTokenCost + p.lengths.predict(a)
 }
 
 // prepare initializes the maps of a zero Pool.
@@ -166,7 +130,7 @@
 	p.classes = make(map[classKey]*class)
 	p.active = make(map[identifier.Request]*activeRequest)
 	p.waiting = make(map[identifier.Request]*waitingRequest)
-	p.predictedLengths = make(map[lengthKey]float64)
+	p.lengths = newLengths()
 	p.extraDelays = make(map[linkKey]float64)
 	p.prefixes = newPrefixIndex()
 }
@@ -284,7 +248,7 @@
 	active.class.charge(active.ask.Customer, active.ask.Weight, used-active.cost)
 	active.class.addRecent(now, used-active.cost)
 	if o.Tokens > 0 && o.Failed.Endpoint == "" && !active.revoked {
-		p.recordLength(active.ask, o.Tokens)
+		p.lengths.record(active.ask, o.Tokens)
 		if active.ask.Promise != nil && active.fromQueue {
 			p.pace.observe(active.ask, o.Tokens, now.Sub(active.since))
 		}
