--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -153,7 +154,7 @@
 	}
 	p := &pool{
 		key:              key,
-		scheduler:        &scheduler.Pool{},
+		scheduler:        &scheduler.Pool{Random: rand.Float64},
 		sessionByRequest: make(map[identifier.Request]*Session),
 		expiries:         make(map[identifier.Request]time.Time),
 		sessions:         make(map[*Session]bool),
@@ -221,6 +222,7 @@
 		return
 	}
 	g.learnDepartures(now, session, m)
+	g.logChangedPromises(session, m)
 	g.refresh(p)
 	for _, l := range m.GetLimits() {
 		if err := p.setLimit(now, l, g.Publisher.View().Instances()); err != nil {
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -278,10 +278,12 @@
 		Weight:       1,
 		PromptTokens: int64(r.Prompt) + received,
 		OutputTokens: max(int64(r.Output)-received, 1),
+		OutputHint:   max(int64(r.OutputHint)-received, 0),
 		Prefix:       xxhash.Sum64String(r.Prefix),
 		DataCentre:   string(s.proxier.DataCentre),
 		Resumed:      s.lastEvent.Load() > r.LastEvent,
 		Terms:        granter.TermsOf(s.job.Rank),
+		Promise:      s.promise(time.Now()),
 	}
 	for _, incarnation := range s.avoided() {
 		ask.Avoid = append(ask.Avoid, markOf(incarnation))
--- a/router/scheduler/ask.go
+++ b/router/scheduler/ask.go
@@ -17,6 +17,9 @@
 	Prompt identifier.Tokens
 	// Output is the maximum number of tokens in the response.
 	Output identifier.Tokens
+	// OutputHint is the caller's estimate of the number of tokens in the response; 0 if it
+	// gave none.
+	OutputHint identifier.Tokens
 	// Version is the model version that the request must stay on; empty means the
 	// declared one.
 	Version identifier.Version
@@ -35,6 +38,9 @@
 	// if it did not send them. They apply if the pool's policy does not declare
 	// the rank.
 	Terms *declarer.Rank
+	// Promise is what the request's route promises its caller; nil if the entry instance
+	// did not send it. The targets of the rank apply then.
+	Promise *Promise
 }
 
 // ActiveTicket is a ticket in use, as an entry instance reports it to a new pool owner.
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -13,7 +13,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"heatherhold.dev/core/classifier"
@@ -35,7 +34,16 @@
 // Pool schedules the requests of one service. The zero value is usable and has no
 // policy until Configure is called.
 type Pool struct {
+	// Random, if it is set, returns random numbers of at least 0 and less than 1, by which
+	// refused callers are told to return at different times.
+	Random func() float64
+
 	policy Policy
+	// guaranteedShare is the sum of the guaranteed shares of the policy's ranks, and
+	// customerOnlyShare that of the ranks that exist only because a customer has their
+	// order.
+	guaranteedShare   float64
+	customerOnlyShare float64
 
 	// runners is in the order of planner.SortByEnd; runnerStates holds the state of
 	// each, and runnerIndex where each is.
@@ -46,25 +54,21 @@
 	// capacity is the token rate that the pool can sustain, in tokens a second.
 	capacity float64
 	working  working
+	pace     pace
 	// unplaceable is the least size of a request that found no chain in the present
 	// round of decisions.
 	unplaceable identifier.Tokens
 	// cachedSet is set if a runner may have a Cached other than 0.
 	cachedSet bool
 
-	classes          map[classKey]*class
-	classOrder       []*class
-	active           map[identifier.Request]*activeRequest
-	waiting          map[identifier.Request]*waitingRequest
-	predictedLengths map[lengthKey]float64
-	prefixes         *prefixIndex
-	decisions        []Decision
-	extraDelays      map[linkKey]float64
-}
-
-type lengthKey struct {
-	customer identifier.Customer
-	rank     identifier.Rank
+	classes     map[classKey]*class
+	classOrder  []*class
+	active      map[identifier.Request]*activeRequest
+	waiting     map[identifier.Request]*waitingRequest
+	lengths     *lengths
+	prefixes    *prefixIndex
+	decisions   []Decision
+	extraDelays map[linkKey]float64
 }
 
 // waitingRequest is a request that waits for a chain.
@@ -73,6 +77,10 @@
 	cost     float64
 	since    time.Time
 	deadline time.Time
+	// lateAt is when the request can no longer be on time; zero if it has no promise. late
+	// is set once it is behind the requests that can be.
+	lateAt time.Time
+	late   bool
 }
 
 // activeRequest is a request that holds a chain.
@@ -87,6 +95,8 @@
 	reservedTokens identifier.Tokens
 	since          time.Time
 	revoked        bool
+	// fromQueue is set if the run began when this pool granted the chain.
+	fromQueue bool
 	// stalled is set while the request makes no progress; its load is not counted.
 	stalled bool
 }
@@ -95,11 +105,6 @@
 const (
 	// promptTokenCost is the cost of a prompt token, in output tokens.
 	promptTokenCost = 0.05
-	// defaultLength is the predicted number of tokens of a response before any
-	// response has been observed.
-	defaultLength = 64.0
-	// lengthGain is the smoothing factor of the predicted response lengths.
-	lengthGain = 0.2
 	// recentWindow is the time constant of the decay of a class's recent tokens.
 	recentWindow = 5 * time.Second
 	// maxAvoidTime is how long a request waits for a chain without the endpoints on
@@ -112,32 +117,7 @@
 
 // cost returns the predicted cost of a request, in output tokens.
 func (p *Pool) cost(a Ask) float64 {
-	return float64(a.Prompt)*promptTokenCost + p.predictLength(a)
-}
-
-// predictLength returns the predicted number of tokens of the response to a.
-func (p *Pool) predictLength(a Ask) float64 {
-	n, ok := p.predictedLengths[lengthKey{
-		customer: a.Customer,
-		rank:     a.Rank,
-	}]
-	if !ok {
-		n = defaultLength
-	}
-	return math.Min(n, float64(a.Output))
-}
-
-// recordLength updates the predicted response length of the customer and rank of a.
-func (p *Pool) recordLength(a Ask, tokens identifier.Tokens) {
-	key := lengthKey{
-		customer: a.Customer,
-		rank:     a.Rank,
-	}
-	old, ok := p.predictedLengths[key]
-	if !ok {
-		old = defaultLength
-	}
-	p.predictedLengths[key] = old + lengthGain*(float64(tokens)-old)
+	return float64(a.Prompt)*promptTokenCost + p.lengths.predict(a)
 }
 
 // prepare initializes the maps of a zero Pool.
@@ -150,7 +130,7 @@
 	p.classes = make(map[classKey]*class)
 	p.active = make(map[identifier.Request]*activeRequest)
 	p.waiting = make(map[identifier.Request]*waitingRequest)
-	p.predictedLengths = make(map[lengthKey]float64)
+	p.lengths = newLengths()
 	p.extraDelays = make(map[linkKey]float64)
 	p.prefixes = newPrefixIndex()
 }
@@ -161,6 +141,7 @@
 func (p *Pool) Configure(policy Policy) {
 	p.prepare()
 	p.policy = policy
+	p.updateShares()
 	p.updateCapacity()
 	for _, c := range p.classOrder {
 		rank, ok := policy.Ranks[c.key.rank]
@@ -186,17 +167,14 @@
 	}
 	c := p.classOf(a)
 	p.applyTerms(c, a)
-	rank := c.rank
 	w := &waitingRequest{
 		ask:      a,
 		cost:     p.cost(a),
 		since:    now,
-		deadline: now.Add(rank.MaxWait.Std()),
-	}
-	if a.Resumed {
-		w.deadline = now.Add(maxResumedWait)
+		deadline: now.Add(p.longestWait(c, a)),
+		lateAt:   p.lateTime(now, a),
 	}
-	if !a.Resumed && !p.admit(now, c, w, rank) {
+	if !a.Resumed && !p.admit(now, c, w) {
 		return
 	}
 	p.waiting[a.Request] = w
@@ -212,23 +190,24 @@
 
 // admit refuses a request that exceeds its customer's queue limit or that is not
 // expected to start in time. It reports whether the request may be queued.
-func (p *Pool) admit(now time.Time, c *class, w *waitingRequest, rank declarer.Rank) bool {
-	if c.queueLength(w.ask.Customer) >= rank.QueueLimit {
-		p.refuse(w.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", rank.QueueLimit), rank.MaxWait.Std())
+func (p *Pool) admit(now time.Time, c *class, w *waitingRequest) bool {
+	longest := w.deadline.Sub(w.since)
+	if limit := c.rank.QueueLimit; c.queueLength(w.ask.Customer) >= limit && !p.makeRoom(now, c, w) {
+		p.refuse(w.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", limit), p.retryAfter(now, c, w, longest))
 		return false
 	}
 	wait := p.estimateWait(now, c, w)
-	if wait > rank.MaxWait.Std() {
-		p.refuse(w.ask.Request, classifier.Overloaded, p.tooLongDetail(wait, rank), wait-rank.MaxWait.Std())
+	if wait > longest {
+		p.refuse(w.ask.Request, classifier.Overloaded, p.tooLongDetail(wait, longest), p.retryAfter(now, c, w, wait-longest))
 		return false
 	}
 	return true
 }
 
 // tooLongDetail returns the detail text for a request that could not start in time.
-func (p *Pool) tooLongDetail(wait time.Duration, rank declarer.Rank) string {
+func (p *Pool) tooLongDetail(wait, longest time.Duration) string {
 	return fmt.Sprintf("the request could not start in time: a wait of %v is expected behind %d waiting and %d running requests, and at most %v is allowed",
-		wait.Round(time.Millisecond), len(p.waiting), len(p.active), rank.MaxWait.Std())
+		wait.Round(time.Millisecond), len(p.waiting), len(p.active), longest)
 }
 
 func (p *Pool) refuse(r identifier.Request, kind classifier.Kind, detail string, after time.Duration) {
@@ -269,7 +248,10 @@
 	active.class.charge(active.ask.Customer, active.ask.Weight, used-active.cost)
 	active.class.addRecent(now, used-active.cost)
 	if o.Tokens > 0 && o.Failed.Endpoint == "" && !active.revoked {
-		p.recordLength(active.ask, o.Tokens)
+		p.lengths.record(active.ask, o.Tokens)
+		if active.ask.Promise != nil && active.fromQueue {
+			p.pace.observe(active.ask, o.Tokens, now.Sub(active.since))
+		}
 	}
 	p.observeGap(active, o)
 }
@@ -327,8 +309,9 @@
 
 // grantFrom starts one request of c: of the first waiting request of each customer,
 // in order of the customers' service, the first that finds a chain. It reports
-// whether one started.
+// whether one started. Those that can't be on time come after the others.
 func (p *Pool) grantFrom(now time.Time, c *class) bool {
+	marked := false
 	for _, w := range c.queueHeads() {
 		if now.Sub(w.since) > maxAvoidTime {
 			w.ask.Avoid = nil
@@ -337,12 +320,21 @@
 		if chain == nil || p.tooSlow(now, c, w, chain) {
 			continue
 		}
+		if p.startsLate(now, w, chain) {
+			c.markLate(w)
+			marked = true
+			continue
+		}
 		c.remove(w)
 		delete(p.waiting, w.ask.Request)
 		p.start(now, c, w, chain)
 		p.grant(w.ask.Request, chain)
 		return true
 	}
+	if marked {
+		// Those that were moved may be served after the others that can be on time.
+		return p.grantFrom(now, c)
+	}
 	return false
 }
 
@@ -354,19 +346,19 @@
 	})
 }
 
-// targetWaitFraction is the fraction of its maximum wait for which a request of the
-// most urgent rank waits for a chain that meets its target while a slower one is
-// free.
-const targetWaitFraction = 0.5
-
 // tooSlow reports whether chain is too slow for a request that can still wait for a
 // faster one.
 func (p *Pool) tooSlow(now time.Time, c *class, w *waitingRequest, chain []identifier.Stage) bool {
-	if c.rank.Order > p.mostUrgentOrder() || w.ask.Resumed || p.meetsTarget(c, chain) {
+	t := c.targetsOf(w.ask)
+	if c.rank.Order > p.mostUrgentOrder(now) || w.ask.Resumed || w.late || p.meetsInterval(t.betweenTokens, chain) {
 		return false
 	}
-	targetWait := time.Duration(targetWaitFraction * float64(c.rank.MaxWait.Std()))
-	return now.Sub(w.since) < targetWait
+	wait := t.fasterChainWait
+	if !w.lateAt.IsZero() {
+		// The slow chain must still serve the request on time if no other becomes free.
+		wait = min(wait, scale(w.lateAt.Sub(w.since), targetWaitFraction))
+	}
+	return now.Sub(w.since) < wait
 }
 
 func (p *Pool) start(now time.Time, c *class, w *waitingRequest, chain []identifier.Stage) {
@@ -380,6 +372,7 @@
 		cost:           w.cost,
 		reservedTokens: need.Tokens(),
 		since:          now,
+		fromQueue:      !w.since.IsZero() && w.ask.Repairs == "",
 	}
 	p.active[w.ask.Request] = active
 	if w.ask.Repairs == "" {
@@ -394,17 +387,19 @@
 	}
 }
 
-// expire refuses the requests whose deadline has passed.
+// expire refuses the requests whose deadline has passed, and moves those that can no longer
+// be on time behind the others.
 func (p *Pool) expire(now time.Time) {
 	for _, c := range p.classOrder {
 		for _, w := range c.removeExpired(now) {
 			delete(p.waiting, w.ask.Request)
-			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited longer than its limit of %v", c.rank.MaxWait.Std())
+			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited longer than its limit of %v", w.deadline.Sub(w.since))
 			if !p.covered() {
 				kind, detail = classifier.NoChain, "no chain of endpoints covers every layer"
 			}
-			p.refuse(w.ask.Request, kind, detail, time.Second)
+			p.refuse(w.ask.Request, kind, detail, p.retryAfter(now, c, w, time.Second))
 		}
+		c.updateLate(now)
 	}
 }
 
