Let entries decide when the pool's owner has no list of endpoints

An owner that restarted while the store was unavailable had no endpoints, kept each request for its longest wait and refused it as no-chain, for the whole fleet, although the entries had lists.

The owner now answers `unknown` at once if no chain is possible on its list and it has none, or the entry's, whose position comes with its asks, is newer. The entry then schedules alone for the usual time, if its own list covers every layer. Otherwise the request stays queued at the owner until either learns more, and the entry ends it after its longest wait. An entry that states no list (an older build, or one without a list) is refused at the end as before.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -35,6 +35,9 @@
 	// InactivityTimeout is how long a stream may be without a received message before
 	// it counts as failed.
 	InactivityTimeout time.Duration
+	// ListAge, if it is set, returns the age of this instance's list of endpoints, for log
+	// lines.
+	ListAge func() time.Duration
 
 	mu       sync.Mutex
 	pools    map[identifier.Service]*pool
@@ -45,12 +48,16 @@
 type pool struct {
 	service identifier.Service
 	out     *batcher.Batch[func(*messenger.ToOwner)]
+	// unknown is signalled when the owner can't decide on a request.
+	unknown chan struct{}
 
 	mu sync.Mutex
 	// owner is the instance that schedules the pool, as far as this entry knows.
-	owner   identifier.Instance
-	waiting map[identifier.Request]*waiter
-	tickets map[identifier.Request]*Ticket
+	owner identifier.Instance
+	// ownerList is the position of the owner's list when it last could not decide.
+	ownerList identifier.Position
+	waiting   map[identifier.Request]*waiter
+	tickets   map[identifier.Request]*Ticket
 	// limits holds the limits that endpoints named, in requests a second.
 	limits map[identifier.EndpointIncarnation]*pacer.Named
 }
@@ -59,6 +66,12 @@
 type waiter struct {
 	ask    *messenger.Ask
 	result chan result
+	// since is when the request began to wait.
+	since time.Time
+	// unknown is set while the owner can't decide on the request; told is signalled when it
+	// says so.
+	unknown bool
+	told    chan struct{}
 }
 
 type result struct {
@@ -124,6 +137,7 @@
 	p = &pool{
 		service: s,
 		out:     batcher.New[func(*messenger.ToOwner)](),
+		unknown: make(chan struct{}, 1),
 		waiting: make(map[identifier.Request]*waiter),
 		tickets: make(map[identifier.Request]*Ticket),
 		limits:  make(map[identifier.EndpointIncarnation]*pacer.Named),
@@ -140,18 +154,22 @@
 	w := &waiter{
 		ask:    ask,
 		result: make(chan result, 1),
+		since:  time.Now(),
+		told:   make(chan struct{}, 1),
 	}
 	request := identifier.Request(ask.GetRequest())
 	p.mu.Lock()
 	p.waiting[request] = w
 	p.mu.Unlock()
 	p.out.Add(func(m *messenger.ToOwner) { m.Asks = append(m.Asks, ask) })
-	select {
-	case got := <-w.result:
+	got, err := a.await(ctx, p, w)
+	if err == nil {
 		return got.ticket, got.err
-	case <-ctx.Done():
 	}
 	p.cancel(request, w)
+	if errors.Is(err, errNoList) {
+		return nil, a.unknownError(p, err)
+	}
 	return nil, classifier.Wrap(classifier.Cancelled, ctx.Err(), "the request ended before it got a chain")
 }
 
@@ -305,8 +323,9 @@
 		p.grant(g, m.GetList().Position())
 	}
 	for _, r := range m.GetRefusals() {
-		p.refuse(r)
+		p.refuse(r, m.GetList().Position())
 	}
+	p.markUnknown(m)
 	for _, r := range m.GetRevoked() {
 		if t, ok := p.tickets[identifier.Request(r)]; ok {
 			t.revoke()
@@ -330,7 +349,8 @@
 	w.result <- result{ticket: t}
 }
 
-func (p *pool) refuse(r *messenger.Refusal) {
+// refuse passes on a refusal; list is the position of the list on which the owner decided.
+func (p *pool) refuse(r *messenger.Refusal, list identifier.Position) {
 	request := identifier.Request(r.GetRequest())
 	w, ok := p.waiting[request]
 	if !ok {
@@ -341,7 +361,7 @@
 		Kind:       kindOf(r),
 		Detail:     r.GetDetail(),
 		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
-		Wrapped:    errors.Errorf("decided by %s at revision %d as %s", p.owner, r.GetRevision(), r.GetKind()),
+		Wrapped:    errors.Errorf("decided by %s at revision %d and version %d of the list in era %d as %s", p.owner, r.GetRevision(), list.Version, list.Era, r.GetKind()),
 	}}
 }
 
@@ -370,8 +390,10 @@
 		m.Limits = append(m.Limits, limitOf(incarnation, l.PerSecond))
 	}
 	for _, w := range p.waiting {
+		w.unknown = false
 		m.Asks = append(m.Asks, w.ask)
 	}
+	a.stateList(m)
 	for _, t := range p.tickets {
 		m.Held = append(m.Held, t.held())
 	}
--- a/router/acquirer/acquirer_test.go
+++ b/router/acquirer/acquirer_test.go
@@ -51,7 +51,7 @@
 }
 
 // serveOwner runs an owner until the test ends and returns its address.
-func serveOwner(t *testing.T, r messenger.DRPCPeerServer) string {
+func serveOwner(t testing.TB, r messenger.DRPCPeerServer) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -66,7 +66,7 @@
 }
 
 // run runs f until the test ends.
-func run(t *testing.T, f func(context.Context) error) {
+func run(t testing.TB, f func(context.Context) error) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
--- a/router/acquirer/stream.go
+++ b/router/acquirer/stream.go
@@ -46,7 +46,7 @@
 		if ctx.Err() != nil || errors.Is(err, errOwnerChanged) {
 			continue
 		}
-		a.Log.WithError(err).WithField("owner", owner).WithField("pool", p.service).Warn("pool owner not reached; scheduling alone")
+		a.logAlone(p, owner, err)
 		retryAt := time.Now().Add(standalonePeriod)
 		standalone := granter.Key{
 			Service:    p.service,
@@ -92,7 +92,7 @@
 		return err
 	}
 	defer stream.Close()
-	first := &messenger.ToOwner{}
+	first := &messenger.ToOwner{Instance: string(a.Self)}
 	a.fillFirst(p, a.Self, first)
 	stream.Send(first)
 	ticker := time.NewTicker(a.InactivityTimeout / heartbeatsPerLimit)
@@ -102,7 +102,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-p.out.Ready():
-			stream.Send(p.nextMessage())
+			stream.Send(a.nextMessage(p))
 		case <-stream.Ready():
 			for _, m := range stream.Receive() {
 				p.deliver(m)
@@ -116,11 +116,12 @@
 }
 
 // nextMessage collects the queued asks, releases and cancels in one message.
-func (p *pool) nextMessage() *messenger.ToOwner {
+func (a *Acquirer) nextMessage(p *pool) *messenger.ToOwner {
 	m := &messenger.ToOwner{Pool: string(p.service)}
 	for _, f := range p.out.Drain() {
 		f(m)
 	}
+	a.stateList(m)
 	return m
 }
 
@@ -144,8 +145,10 @@
 	if err != nil {
 		return errors.Wrap(err, "open ticket stream")
 	}
+	p.forgetUnknown()
 	received := make(chan struct{}, 1)
 	group.Go(func() error { return p.receive(stream, received) })
+	group.Go(func() error { return a.awaitOwnList(ctx, p) })
 	group.Go(func() error { return a.send(ctx, p, owner, stream) })
 	group.Go(func() error { return granter.AwaitInactivity(ctx, received, a.InactivityTimeout) })
 	group.Go(func() error {
@@ -198,7 +201,7 @@
 				continue
 			}
 		}
-		if err := stream.Send(p.nextMessage()); err != nil {
+		if err := stream.Send(a.nextMessage(p)); err != nil {
 			return errors.Wrap(err, "send")
 		}
 	}
--- a/router/components.go
+++ b/router/components.go
@@ -134,6 +134,7 @@
 	g.Log = log
 	g.Lease = s.Peer.InactivityTimeout.Std()
 	g.OnRound = p.RecordRound
+	g.OnUnknown = p.CountUnknown
 	return g
 }
 
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -62,17 +62,25 @@
 	// Estimate, if it is set, returns the capacities of the endpoints of a view. It
 	// replaces polling each endpoint for its state.
 	Estimate func(v *publisher.View, k Key) []scheduler.Report
+	// OnUnknown, if it is set, is called on the control loop with the number of requests on
+	// which the instance could not decide.
+	OnUnknown func(s identifier.Service, n int)
+	// ListAge, if it is set, returns the age of the list of endpoints, for log lines.
+	ListAge func() time.Duration
 
 	pools     map[Key]*pool
 	poolAdded chan struct{}
+	// unknownLoggedAt is when it was last logged that a pool can't be decided on.
+	unknownLoggedAt map[Key]time.Time
 }
 
 // New returns a granter whose state is accessed on loop.
 func New(loop *executor.Loop) *Granter {
 	return &Granter{
-		Loop:      loop,
-		pools:     make(map[Key]*pool),
-		poolAdded: make(chan struct{}, 1),
+		Loop:            loop,
+		pools:           make(map[Key]*pool),
+		poolAdded:       make(chan struct{}, 1),
+		unknownLoggedAt: make(map[Key]time.Time),
 	}
 }
 
@@ -98,7 +106,10 @@
 	pool *pool
 	// entry is the instance at the other end, as its first message names it.
 	entry identifier.Instance
-	out   *batcher.Batch[*messenger.FromOwner]
+	// list is the position of the entry's list of endpoints when it last sent asks; zero if it
+	// stated none.
+	list identifier.Position
+	out  *batcher.Batch[*messenger.FromOwner]
 }
 
 // Run makes scheduling decisions and polls endpoints until ctx ends.
@@ -166,14 +177,7 @@
 		return
 	}
 	p.view = v
-	s := v.Declaration.Service[p.key.Service]
-	p.scheduler.Configure(scheduler.Policy{
-		Layers:  s.Layers,
-		Partial: g.Estimate != nil,
-		Version: s.Version,
-		Ranks:   v.Declaration.Rank,
-		Links:   linksOf(v, p.key.Service),
-	})
+	p.scheduler.Configure(g.policyOf(v, p.key))
 	if g.Estimate != nil {
 		p.scheduler.SetRunners(sortReports(g.Estimate(v, p.key)))
 		p.runnersSet = true
@@ -235,6 +239,10 @@
 		delete(p.expiries, ask.Request)
 		p.scheduler.Ask(now, ask)
 	}
+	if len(m.GetAsks()) > 0 {
+		session.list = m.GetList().Position()
+	}
+	g.answerUnknown(now, session, m.GetAsks())
 	if now.Sub(p.decidedAt) >= minDecideInterval {
 		g.decide(now, p)
 	}
@@ -332,6 +340,12 @@
 			m = &messenger.FromOwner{List: messenger.PositionOf(g.Publisher.List())}
 			batches[session] = m
 		}
+		if g.refusesUninformed(session, d) {
+			m.Unknown = append(m.Unknown, string(d.Request))
+			g.recordUnknown(now, session, 1)
+			p.dropRequest(d.Request)
+			continue
+		}
 		addDecision(m, d, p.revision())
 		if d.Verdict == scheduler.Refused {
 			p.dropRequest(d.Request)
--- a/router/granter/granter_test.go
+++ b/router/granter/granter_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/core/declarer"
@@ -35,15 +37,24 @@
 }
 
 func newOwner(t *testing.T) *owner {
+	t.Helper()
+	return newOwnerOf(t, func(*publisher.View, granter.Key) []scheduler.Report { return []scheduler.Report{endpoint()} })
+}
+
+// newOwnerOf returns an owner of the endpoints that estimate returns.
+func newOwnerOf(t *testing.T, estimate func(*publisher.View, granter.Key) []scheduler.Report) *owner {
 	t.Helper()
 	loop := executor.New()
 	o := &owner{
 		granter:   granter.New(loop),
 		publisher: publisher.New(),
 	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o.granter.Log = log
 	o.granter.Publisher = o.publisher
 	o.granter.Lease = time.Second
-	o.granter.Estimate = func(*publisher.View, granter.Key) []scheduler.Report { return []scheduler.Report{endpoint()} }
+	o.granter.Estimate = estimate
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return loop.Run(ctx) })
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -111,6 +111,11 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_outdated_tickets_total{service=%q}`, s)).Inc()
 }
 
+// CountUnknown counts requests on which this instance, as the pool's owner, could not decide.
+func (r *Reporter) CountUnknown(s identifier.Service, n int) {
+	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_unknown_answers_total{service=%q}`, s)).Add(n)
+}
+
 // RecordStoreCall records a call of the platform's store by its outcome and duration.
 func (r *Reporter) RecordStoreCall(name string, d time.Duration, err error) {
 	outcome := "ok"
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -260,7 +260,7 @@
 
 // wireStoreController sets the dependencies of a controller on a platform that has
 // a store, and the granter's callbacks.
-func wireStoreController(s *loader.Settings, c *controller.Controller, store *storer.Client, sh *sharer.Sharer, d *dialer.Dialer, pub *publisher.Publisher, g *granter.Granter, q *quarantiner.Quarantiner, x *proxier.Proxier, p *reporter.Reporter, log logrus.FieldLogger) {
+func wireStoreController(s *loader.Settings, c *controller.Controller, store *storer.Client, sh *sharer.Sharer, d *dialer.Dialer, pub *publisher.Publisher, g *granter.Granter, a *acquirer.Acquirer, q *quarantiner.Quarantiner, x *proxier.Proxier, p *reporter.Reporter, log logrus.FieldLogger) {
 	c.Dialer = d
 	c.Publisher = pub
 	c.Granter = g
@@ -306,6 +306,8 @@
 	g.MarkLeaving = c.MarkLeavingOnLoop
 	g.LearnDepartures = c.LearnDepartures
 	g.Estimate = estimate
+	g.ListAge = func() time.Duration { return sh.Age(translator.EndpointsTable) }
+	a.ListAge = g.ListAge
 }
 
 // decodeConfiguration decodes the row that holds the operators' configuration.
