Set aside tickets and grants without a chain

FuzzToOwner found that an instance which reports a ticket without a chain ends the owner's process (index out of range in scheduler.start). A grant without a chain reached the proxier, which indexes it as well: the seed of FuzzFromOwner shows the ticket. Both are set aside now; such a grant counts as a refusal.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -341,6 +341,14 @@
 		return
 	}
 	delete(p.waiting, request)
+	if len(g.GetChain()) == 0 {
+		w.result <- result{err: &classifier.Error{
+			Kind:    classifier.NoChain,
+			Detail:  "the pool's owner granted no endpoint",
+			Wrapped: errors.Errorf("grant without a chain by %s", p.owner),
+		}}
+		return
+	}
 	t := NewTicket(w.ask, granter.ChainOf(g.GetChain()))
 	t.Owner = p.owner
 	t.List = list
--- a/router/acquirer/unknown_test.go
+++ b/router/acquirer/unknown_test.go
@@ -261,7 +261,8 @@
 	}
 }
 
-// FuzzFromOwner lets an owner answer with any message: each request gets an answer in time.
+// FuzzFromOwner lets an owner answer with any message: each request gets an answer in time, and
+// no ticket without a chain.
 func FuzzFromOwner(f *testing.F) {
 	for _, m := range []*messenger.FromOwner{
 		{Unknown: []string{"r1", "r1", "", "other"}},
@@ -295,6 +296,9 @@
 		const longest = 10 * time.Millisecond
 		ticket, err := e.acquire(t, "r1", longest)
 		if err == nil {
+			if len(ticket.Chain) == 0 {
+				t.Error("got a ticket without a chain, want an error")
+			}
 			ticket.Release(acquirer.Outcome{})
 		}
 		if errors.Is(err, context.DeadlineExceeded) {
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -216,7 +216,12 @@
 			g.Log.WithError(err).WithField("endpoint", l.GetEndpoint().GetEndpoint()).Warn("limit reported by an instance set aside")
 		}
 	}
+	withoutChain := 0
 	for _, h := range m.GetHeld() {
+		if len(h.GetChain()) == 0 {
+			withoutChain++
+			continue
+		}
 		ticket := activeTicketOf(h)
 		p.sessionByRequest[ticket.Request] = session
 		delete(p.expiries, ticket.Request)
@@ -225,6 +230,9 @@
 			p.scheduler.Stall(now, ticket.Request, incarnationOf(failed))
 		}
 	}
+	if withoutChain > 0 {
+		g.Log.WithField("peer", session.entry).WithField("tickets", withoutChain).Warn("tickets without a chain reported by an instance set aside")
+	}
 	for _, r := range m.GetReleases() {
 		p.dropRequest(identifier.Request(r.GetRequest()))
 		p.scheduler.Release(now, identifier.Request(r.GetRequest()), outcomeOf(r))
