Move the streams of all endpoints that fail in one round at once, in the background

Cause: watcher.check handled the first failed endpoint of a round and waited for its moves, up to 400 ms, before the next one was considered. Streams of the others waited, and a stream through two failed endpoints was moved around one of them only.

Change: all endpoints that fail in a round are recorded at their streams, and each stream is moved around all of them in the background. Endpoints that fail while a search runs are avoided by its next try. Lost runs are checked in the background too.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -57,6 +57,8 @@
 	searching atomic.Bool
 	mu        sync.Mutex
 	ticket    *acquirer.Ticket
+	// givenUp are the endpoints to be avoided, of the chain that makes no progress.
+	givenUp []identifier.EndpointIncarnation
 	// stopSearch ends the search, and next is the attempt that was found.
 	stopSearch context.CancelFunc
 	next       *attempt
--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -76,6 +76,7 @@
 	if a.stopSearch != nil && a.next == nil {
 		a.stopSearch()
 		a.stopSearch = nil
+		a.givenUp = nil
 		a.ticket.ReportProgress()
 	}
 }
@@ -84,9 +85,9 @@
 // another chain. ctx is that of the new run, which outlives the search.
 func (a *attempt) tryHandOver(ctx, search context.Context, cause *stageError) error {
 	if !a.replaceable() {
-		return a.moveAround(search, cause.incarnation)
+		return a.moveAround(search)
 	}
-	b, err := a.acquireSuccessor(ctx, search, cause.incarnation)
+	b, err := a.acquireSuccessor(ctx, search)
 	if err != nil {
 		return err
 	}
@@ -99,10 +100,11 @@
 	return err
 }
 
-// acquireSuccessor returns an attempt on a chain without an endpoint. It fails at once if no
-// retry is left.
-func (a *attempt) acquireSuccessor(ctx, search context.Context, avoid identifier.EndpointIncarnation) (*attempt, error) {
+// acquireSuccessor returns an attempt on a chain without the endpoints that were given up. It
+// fails at once if no retry is left.
+func (a *attempt) acquireSuccessor(ctx, search context.Context) (*attempt, error) {
 	s := a.stream
+	avoid := a.avoided()
 	if s.proxier.budget(time.Now(), s.job.Service).Remaining() < 1 {
 		return nil, errNoRetryLeft
 	}
@@ -110,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ticket, err := s.acquireUnpaused(search, avoid)
+	ticket, err := s.acquireUnpaused(search, avoid...)
 	if err != nil {
 		pass.End()
 		return nil, err
@@ -124,8 +126,8 @@
 }
 
 // checkSuccessor takes a retry for a run with the ticket if that may be sent.
-func (s *stream) checkSuccessor(ticket *acquirer.Ticket, pass *quarantiner.Pass, avoid identifier.EndpointIncarnation) error {
-	if contains(ticket.Chain, avoid) {
+func (s *stream) checkSuccessor(ticket *acquirer.Ticket, pass *quarantiner.Pass, avoid []identifier.EndpointIncarnation) error {
+	if containsAny(ticket.Chain, avoid) {
 		return errSameEndpoint
 	}
 	if refusal := pass.Check(time.Now()); refusal != nil {
--- /dev/null
+++ b/router/proxier/moves_test.go
@@ -0,0 +1,184 @@
+package proxier_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/director"
+	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/acquirer"
+)
+
+// movingTickets grants each request its own chain, and each ask that moves a stream the chain
+// that is set for the stream. A move without a chain waits until it is given up.
+type movingTickets struct {
+	first map[string][]identifier.Stage
+	moved map[string][]identifier.Stage
+
+	mu    sync.Mutex
+	moves []*messenger.Ask
+}
+
+func (m *movingTickets) Acquire(ctx context.Context, _ identifier.Service, ask *messenger.Ask) (*acquirer.Ticket, error) {
+	if ask.GetMoves() == "" {
+		return acquirer.NewTicket(ask, m.first[ask.GetRequest()]), nil
+	}
+	m.mu.Lock()
+	m.moves = append(m.moves, ask)
+	m.mu.Unlock()
+	if chain, ok := m.moved[ask.GetMoves()]; ok {
+		return acquirer.NewTicket(ask, chain), nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// asks returns the asks that moved a stream.
+func (m *movingTickets) asks() []*messenger.Ask {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.moves)
+}
+
+// movingOrders is a fake proxier.Orderer for which several endpoints don't respond. It signals
+// each moved stream.
+type movingOrders struct {
+	silentOrders
+
+	mu      sync.Mutex
+	moved   map[identifier.Request]chan struct{}
+	reports int
+}
+
+func newMovingOrders(f *fixture) *movingOrders {
+	return &movingOrders{
+		silentOrders: silentOrders{orders: f.orders},
+		moved:        make(map[identifier.Request]chan struct{}),
+	}
+}
+
+func (o *movingOrders) Report(ctx context.Context, address string) (director.Report, error) {
+	o.mu.Lock()
+	o.reports++
+	o.mu.Unlock()
+	return o.silentOrders.Report(ctx, address)
+}
+
+func (o *movingOrders) Repath(_ context.Context, id identifier.Request, _ []identifier.Stage) (string, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if c, ok := o.moved[id]; ok {
+		close(c)
+		delete(o.moved, id)
+	}
+	return "", nil
+}
+
+// onMove returns a channel that is closed when the request is moved.
+func (o *movingOrders) onMove(id identifier.Request) <-chan struct{} {
+	c := make(chan struct{})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.moved[id] = c
+	return c
+}
+
+// stallUntil returns a serve function that sends one event, and the rest after resume.
+func stallUntil(resume <-chan struct{}, last int) func(int, io.Writer) {
+	return func(after int, w io.Writer) {
+		fallSilent(1)(after, w)
+		select {
+		case <-resume:
+		case <-time.After(3 * time.Second):
+		}
+		for i := 2; i <= last; i++ {
+			writeChunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
+		}
+		fmt.Fprint(w, "0\r\n\r\n")
+	}
+}
+
+// TestSlowMoveDelaysStreamsOfOtherEndpoint guards against an endpoint whose streams wait while
+// those of other endpoints, found failed in the same round, look for a chain.
+func TestSlowMoveDelaysStreamsOfOtherEndpoint(t *testing.T) {
+	const slow = 8
+	f := newFixture(cataloguer.AtMostOnce, true)
+	f.route.Gap = 400 * time.Millisecond
+	orders := newMovingOrders(f)
+	tickets := &movingTickets{
+		first: make(map[string][]identifier.Stage),
+		moved: make(map[string][]identifier.Stage),
+	}
+	f.proxier.Orderer, f.proxier.Tickets = orders, tickets
+	spare := newEndpoint(t, "spare", dropConnection)
+	add := func(id string, resume <-chan struct{}) *endpoint {
+		first := newEndpoint(t, "first-"+id, stallUntil(resume, 3))
+		dead := newEndpoint(t, "dead-"+id, dropConnection)
+		orders.silent = append(orders.silent, dead.Address)
+		tickets.first[id+".1"] = []identifier.Stage{stage(first, 0, 2), stage(dead, 2, 4)}
+		return first
+	}
+	victim := add("victim", orders.onMove("victim"))
+	tickets.moved["victim.1"] = []identifier.Stage{stage(victim, 0, 2), stage(spare, 2, 4)}
+	var group errgroup.Group
+	for i := range slow {
+		add(fmt.Sprint("slow", i), nil)
+	}
+	for i := range slow {
+		group.Go(func() error {
+			_, err := f.serveAs(fmt.Sprint("slow", i), &f.route, 5*time.Second)
+			return err
+		})
+	}
+	f.watch(t)
+	start := time.Now()
+	w, err := f.serveAs("victim", &f.route, 5*time.Second)
+	requireEvents(t, ids(w.Body.String()), err, "1 2 3")
+	if got, want := time.Since(start), f.route.Gap; got > want {
+		t.Errorf("the stream went on after %v, want at most %v: a chain was free", got, want)
+	}
+	if err := group.Wait(); err != nil {
+		t.Errorf("a stream that stayed: got error %v, want the whole stream", err)
+	}
+}
+
+// TestStreamMovedToFailedEndpoint guards against a stream through two endpoints that fail
+// together and is moved around one of them only.
+func TestStreamMovedToFailedEndpoint(t *testing.T) {
+	f := newFixture(cataloguer.AtMostOnce, true)
+	orders := newMovingOrders(f)
+	first := newEndpoint(t, "first", stallUntil(orders.onMove("r"), 3))
+	var dead, spare [2]*endpoint
+	for i := range dead {
+		dead[i] = newEndpoint(t, fmt.Sprint("dead", i), dropConnection)
+		spare[i] = newEndpoint(t, fmt.Sprint("spare", i), dropConnection)
+		orders.silent = append(orders.silent, dead[i].Address)
+	}
+	tickets := &movingTickets{
+		first: map[string][]identifier.Stage{"r.1": {stage(first, 0, 1), stage(dead[0], 1, 2), stage(dead[1], 2, 4)}},
+		moved: map[string][]identifier.Stage{"r.1": {stage(first, 0, 1), stage(spare[0], 1, 2), stage(spare[1], 2, 4)}},
+	}
+	f.proxier.Orderer, f.proxier.Tickets = orders, tickets
+	f.watch(t)
+	w, err := f.serveAs("r", &f.route, 5*time.Second)
+	requireEvents(t, ids(w.Body.String()), err, "1 2 3")
+	asks := tickets.asks()
+	if len(asks) != 1 {
+		t.Fatalf("got %d asks for a move, want 1", len(asks))
+	}
+	for _, e := range dead {
+		avoided := slices.ContainsFunc(asks[0].GetAvoid(), func(m *messenger.Mark) bool { return m.GetEndpoint() == string(e.Endpoint.Endpoint) })
+		if !avoided {
+			t.Errorf("the move avoids %v, want %s as well", asks[0].GetAvoid(), e.Endpoint.Endpoint)
+		}
+	}
+}
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,19 +41,42 @@
 // has no other.
 var errFirstStage = errors.New("the first stage failed")
 
-// moveAround makes the first stage continue over a chain without the failed stage.
-func (a *attempt) moveAround(ctx context.Context, failed identifier.EndpointIncarnation) error {
-	chain := a.chain()
-	if chain[0].EndpointIncarnation == failed || a.stream.engine.Layers == 0 || a.unanswered() {
+// giveUp records that an endpoint of the attempt's chain is to be avoided.
+func (a *attempt) giveUp(incarnation identifier.EndpointIncarnation) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !slices.Contains(a.givenUp, incarnation) {
+		a.givenUp = append(a.givenUp, incarnation)
+	}
+}
+
+// avoided returns the endpoints that were given up for the attempt since it last made progress
+// or was moved.
+func (a *attempt) avoided() []identifier.EndpointIncarnation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.givenUp)
+}
+
+// containsAny reports whether a chain includes one of the endpoint incarnations.
+func containsAny(chain []identifier.Stage, incarnations []identifier.EndpointIncarnation) bool {
+	return slices.ContainsFunc(incarnations, func(i identifier.EndpointIncarnation) bool { return contains(chain, i) })
+}
+
+// moveAround makes the first stage continue over a chain without the endpoints that were given
+// up.
+func (a *attempt) moveAround(ctx context.Context) error {
+	chain, failed := a.chain(), a.avoided()
+	if containsAny(chain[:1], failed) || a.stream.engine.Layers == 0 || a.unanswered() {
 		return errFirstStage
 	}
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
-	avoid := []identifier.EndpointIncarnation{failed}
+	avoid := failed
 	var err error
 	for range maxRerouteChains {
 		var missing identifier.EndpointIncarnation
-		missing, err = a.tryReroute(ctx, avoid)
+		missing, err = a.tryReroute(ctx, avoid, failed)
 		if err == nil || !errors.Is(err, director.ErrStageUnavailable) || missing.Endpoint == "" || missing == chain[0].EndpointIncarnation {
 			return err
 		}
@@ -60,10 +85,10 @@
 	return err
 }
 
-// tryReroute acquires a chain with the same first stage and reroutes the stream
-// over it. With director.ErrStageUnavailable it returns the stage that could not
-// join the chain.
-func (a *attempt) tryReroute(ctx context.Context, avoid []identifier.EndpointIncarnation) (identifier.EndpointIncarnation, error) {
+// tryReroute acquires a chain with the same first stage and without the endpoints in avoid,
+// and reroutes the stream over it; failed are those that were given up. With
+// director.ErrStageUnavailable it returns the stage that could not join the chain.
+func (a *attempt) tryReroute(ctx context.Context, avoid, failed []identifier.EndpointIncarnation) (identifier.EndpointIncarnation, error) {
 	x := a.stream.proxier
 	ticket, err := a.stream.acquireListed(ctx, avoid, a.chain(), func() *messenger.Ask {
 		ask := a.stream.newAsk()
@@ -79,18 +104,19 @@
 		ticket.Release(acquirer.Outcome{})
 		return stageAt(ticket.Chain, address).EndpointIncarnation, err
 	}
-	a.replaceTicket(ticket, avoid[0])
+	a.replaceTicket(ticket, failed)
 	return identifier.EndpointIncarnation{}, nil
 }
 
 // replaceTicket replaces the attempt's ticket, unless the attempt has finished.
-// The chain of the old ticket failed at the endpoint incarnation failed.
-func (a *attempt) replaceTicket(ticket *acquirer.Ticket, failed identifier.EndpointIncarnation) {
+// The chain of the old ticket failed at the endpoint incarnations in failed.
+func (a *attempt) replaceTicket(ticket *acquirer.Ticket, failed []identifier.EndpointIncarnation) {
 	a.mu.Lock()
 	old := a.ticket
 	finished := a.finished
 	if !finished {
 		a.ticket = ticket
+		a.givenUp = slices.DeleteFunc(a.givenUp, func(i identifier.EndpointIncarnation) bool { return !contains(ticket.Chain, i) })
 	}
 	a.mu.Unlock()
 	if finished {
@@ -98,8 +124,27 @@
 		return
 	}
 	a.stream.proxier.Reporter.CountReroute(a.stream.job.Service)
-	old.Release(acquirer.Outcome{Failed: failed})
-	a.stream.proxier.log(a.stream.job).WithField("avoided", failed.Endpoint).WithField("chain", formatChain(ticket.Chain)).Info("stream moved to another chain")
+	old.Release(acquirer.Outcome{Failed: firstFailed(old.Chain, failed)})
+	a.stream.proxier.log(a.stream.job).WithField("avoided", formatEndpoints(failed)).WithField("chain", formatChain(ticket.Chain)).Info("stream moved to another chain")
+}
+
+// firstFailed returns the first endpoint of a chain that is in failed; zero if none is.
+func firstFailed(chain []identifier.Stage, failed []identifier.EndpointIncarnation) identifier.EndpointIncarnation {
+	for _, s := range chain {
+		if slices.Contains(failed, s.EndpointIncarnation) {
+			return s.EndpointIncarnation
+		}
+	}
+	return identifier.EndpointIncarnation{}
+}
+
+// formatEndpoints formats endpoints for the log.
+func formatEndpoints(incarnations []identifier.EndpointIncarnation) string {
+	names := make([]string, 0, len(incarnations))
+	for _, i := range incarnations {
+		names = append(names, string(i.Endpoint))
+	}
+	return strings.Join(names, " ")
 }
 
 // finish ends the search for another chain and prevents any further rerouting of the attempt.
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -60,7 +60,10 @@
 			return nil
 		case now := <-t.C:
 			w.check(ctx, now)
-			x.checkLostRuns(ctx, now)
+			w.searches.Go(func() error {
+				x.checkLostRuns(ctx, now)
+				return nil
+			})
 		case <-cleanup.C:
 			x.Balancer.Keep(x.Publisher.View().Incarnations())
 		}
@@ -74,7 +77,8 @@
 type watcher struct {
 	proxier *Proxier
 	probes  map[identifier.EndpointIncarnation]probeSchedule
-	// searches are the searches for other chains of streams without progress.
+	// searches are the moves of streams without progress and the searches for other chains
+	// for them. They run in the background, so that a slow one delays no round of checks.
 	searches errgroup.Group
 }
 
@@ -103,9 +107,8 @@
 	return p.progressing == 0 || (p.stalled >= minStalledStreams && p.stalled >= p.progressing)
 }
 
-// check probes the suspected endpoints and reroutes the streams around one that
-// has failed. If none has, it reroutes the streams that the endpoints report as
-// stalled.
+// check probes the suspected endpoints and reroutes the streams around all that have
+// failed. If none has, it reroutes the streams that the endpoints report as stalled.
 func (w *watcher) check(ctx context.Context, now time.Time) {
 	before := w.proxier.progressByEndpoint(now)
 	suspects := w.suspects(now, before)
@@ -114,13 +117,20 @@
 	}
 	results := w.probe(ctx, suspects)
 	after := w.proxier.progressByEndpoint(time.Now())
+	var failures []*stageError
 	for i, s := range suspects {
 		reason := results[i].fault(after[s.EndpointIncarnation])
 		if reason == "" {
 			continue
 		}
 		w.probes[s.EndpointIncarnation] = probeSchedule{next: now.Add(failedDelay)}
-		w.rerouteAround(ctx, s.EndpointIncarnation, reason)
+		failures = append(failures, &stageError{
+			incarnation: s.EndpointIncarnation,
+			detail:      reason,
+		})
+	}
+	if len(failures) > 0 {
+		w.rerouteAround(ctx, failures)
 		return
 	}
 	for _, result := range results {
@@ -289,15 +299,20 @@
 	return slices.ContainsFunc(chain, func(s identifier.Stage) bool { return s.EndpointIncarnation == incarnation })
 }
 
-// rerouteAround reroutes every attempt whose chain includes the endpoint incarnation.
-func (w *watcher) rerouteAround(ctx context.Context, incarnation identifier.EndpointIncarnation, detail string) {
+// rerouteAround reroutes every attempt whose chain includes an endpoint that failed, around
+// all of them that the chain includes.
+func (w *watcher) rerouteAround(ctx context.Context, failures []*stageError) {
 	x := w.proxier
-	attempts := x.activeAttempts(func(a *attempt) bool { return a.passesThrough(incarnation) })
-	x.Log.WithField("endpoint", incarnation.Endpoint).WithField("reason", detail).WithField("streams", len(attempts)).Warn("endpoint given up for its streams")
-	w.reroute(ctx, attempts, &stageError{
-		incarnation: incarnation,
-		detail:      detail,
-	})
+	for _, f := range failures {
+		attempts := x.activeAttempts(func(a *attempt) bool { return a.passesThrough(f.incarnation) })
+		x.Log.WithField("endpoint", f.incarnation.Endpoint).WithField("reason", f.detail).WithField("streams", len(attempts)).Warn("endpoint given up for its streams")
+		for _, a := range attempts {
+			a.giveUp(f.incarnation)
+		}
+	}
+	for _, f := range failures {
+		w.reroute(ctx, x.activeAttempts(func(a *attempt) bool { return a.passesThrough(f.incarnation) }), f)
+	}
 }
 
 // rerouteStalled reroutes the attempts that an endpoint reports as stalled by
@@ -311,6 +326,9 @@
 		}
 		incarnation := stageAt(attempts[0].chain(), address).EndpointIncarnation
 		x.Log.WithField("endpoint", incarnation.Endpoint).WithField("request", id).Warn("endpoint holds a stream up")
+		for _, a := range attempts {
+			a.giveUp(incarnation)
+		}
 		w.reroute(ctx, attempts, &stageError{
 			incarnation: incarnation,
 			detail:      "stalls the stream",
@@ -318,29 +336,22 @@
 	}
 }
 
-// reroute moves the attempts around the stage that failed. It starts a search for another
-// run for those that can't be moved now. Attempts with a search are left alone.
+// reroute moves the attempts around the stage that failed, in the background. It starts a
+// search for another run for those that can't be moved now. Attempts with a search are left
+// alone.
 func (w *watcher) reroute(ctx context.Context, attempts []*attempt, cause *stageError) {
-	var moves errgroup.Group
 	for _, a := range attempts {
 		if !a.searching.CompareAndSwap(false, true) {
 			continue
 		}
-		moves.Go(func() error {
-			if err := a.moveAround(ctx, cause.incarnation); err == nil {
-				a.searching.Store(false)
-				return nil
-			}
-			w.searches.Go(func() error {
-				defer a.searching.Store(false)
+		w.searches.Go(func() error {
+			defer a.searching.Store(false)
+			if err := a.moveAround(ctx); err != nil {
 				a.handOver(ctx, cause)
-				return nil
-			})
+			}
 			return nil
 		})
 	}
-	// What can't be moved is handed over; there is no other error.
-	_ = moves.Wait()
 }
 
 // stageAt returns the chain's stage with the address, or the first stage if there
