Divide the longest pause between the steps of a move; give each stream its own pace

Cause: a stall counted after 0.45 of the longest pause whatever the pace of the stream, checks ran every 30 ms and a report was waited for for 60 ms: 202 ms of 250 ms before a move started.

Change: new pure package router/mover. A stream counts as stalled after 0.30 of the longest pause or 1.5 times its own mean time between events, at most 0.45 as before; a report is waited for for 0.15 of it. The mean counts each pause by its length and is known from four pauses on; until then 0.45 applies, so that slow and bursty streams cause no more reports than before. A stream that was moved isn't stalled while its new stage reads (0.40). Checks run every 15 ms, and cost one pass over the streams unless one is stalled.

Tests: mover; TestSlowPaceProbed, TestMovedStreamProbedWhileRead.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -15,6 +15,7 @@
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/exchanger"
+	"heatherhold.dev/router/mover"
 	"heatherhold.dev/router/quarantiner"
 )
 
@@ -45,6 +46,12 @@
 	progressed atomic.Bool
 	// lastEventAt is when the last event was received; nil before the first.
 	lastEventAt atomic.Pointer[time.Time]
+	// pace is the time between the events, and stallAfter the time in nanoseconds without an
+	// event after which the stream counts as stalled.
+	pace       mover.Pace
+	stallAfter atomic.Int64
+	// movedAt is when the first stage last continued over another chain; nil if never.
+	movedAt atomic.Pointer[time.Time]
 
 	// pending holds the events without an id since the last event with one.
 	pending []byte
@@ -265,8 +272,7 @@
 	events := &splitter{reader: bufio.NewReader(a.response)}
 	for {
 		e, err := events.next()
-		now := time.Now()
-		a.lastEventAt.Store(&now)
+		a.recordEventTime(time.Now())
 		if errors.Is(err, io.EOF) && a.response.UntilClose && !a.progressed.Load() {
 			err = errNoEvents
 		}
--- a/router/proxier/moves_test.go
+++ b/router/proxier/moves_test.go
@@ -92,6 +92,13 @@
 	return c
 }
 
+// probes returns how many reports were requested.
+func (o *movingOrders) probes() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reports
+}
+
 // stallUntil returns a serve function that sends one event, and the rest after resume.
 func stallUntil(resume <-chan struct{}, last int) func(int, io.Writer) {
 	return func(after int, w io.Writer) {
@@ -182,3 +189,77 @@
 		}
 	}
 }
+
+// TestSlowPaceProbed guards against reports that are requested of endpoints whose streams are
+// slow by nature: they cost the operators something, and nothing is wrong.
+func TestSlowPaceProbed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		pauses []time.Duration
+	}{
+		{name: "regular", pauses: []time.Duration{350 * time.Millisecond}},
+		{name: "bursts", pauses: []time.Duration{0, 0, 0, 380 * time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			const events = 12
+			e := newEndpoint(t, "slow", func(_ int, w io.Writer) {
+				fmt.Fprint(w, streamHeader)
+				for i := range events {
+					writeChunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i+1, i+1))
+					time.Sleep(c.pauses[i%len(c.pauses)])
+				}
+				fmt.Fprint(w, "0\r\n\r\n")
+			})
+			f := newFixture(cataloguer.AtMostOnce, true, e)
+			f.route.Gap = time.Second
+			orders := newMovingOrders(f)
+			f.proxier.Orderer = orders
+			f.watch(t)
+			if _, _, err := f.serve(context.Background(), 10*time.Second); err != nil {
+				t.Errorf("got error %v, want the whole stream", err)
+			}
+			if got := orders.probes(); got != 0 {
+				t.Errorf("got %d reports requested, want none", got)
+			}
+		})
+	}
+}
+
+// TestMovedStreamProbedWhileRead guards against a stage that reads the prompt of a stream moved
+// to it and is asked, or given up, because of the pause from before the move.
+func TestMovedStreamProbedWhileRead(t *testing.T) {
+	f := newFixture(cataloguer.AtMostOnce, true)
+	f.route.Gap = time.Second
+	orders := newMovingOrders(f)
+	moved := orders.onMove("r")
+	reading := make(chan struct{})
+	first := newEndpoint(t, "first", stallUntil(reading, 3))
+	dead := newEndpoint(t, "dead", dropConnection)
+	spare := newEndpoint(t, "spare", dropConnection)
+	orders.silent = append(orders.silent, dead.Address)
+	f.proxier.Orderer = orders
+	f.proxier.Tickets = &movingTickets{
+		first: map[string][]identifier.Stage{"r.1": {stage(first, 0, 2), stage(dead, 2, 4)}},
+		moved: map[string][]identifier.Stage{"r.1": {stage(first, 0, 2), stage(spare, 2, 4)}},
+	}
+	f.watch(t)
+	var probes int
+	var group errgroup.Group
+	group.Go(func() error {
+		<-moved
+		probes = orders.probes()
+		time.Sleep(250 * time.Millisecond)
+		probes = orders.probes() - probes
+		close(reading)
+		return nil
+	})
+	w, err := f.serveAs("r", &f.route, 5*time.Second)
+	requireEvents(t, ids(w.Body.String()), err, "1 2 3")
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if probes != 0 {
+		t.Errorf("got %d reports requested while the new stage read the prompt, want none", probes)
+	}
+}
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -114,7 +114,9 @@
 	a.mu.Lock()
 	old := a.ticket
 	finished := a.finished
+	now := time.Now()
 	if !finished {
+		a.movedAt.Store(&now)
 		a.ticket = ticket
 		a.givenUp = slices.DeleteFunc(a.givenUp, func(i identifier.EndpointIncarnation) bool { return !contains(ticket.Chain, i) })
 	}
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -9,18 +9,14 @@
 
 	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/mover"
 )
 
 const (
-	// checkInterval is how often running streams are checked.
-	checkInterval = 30 * time.Millisecond
-	// stallFraction is the fraction of the longest allowed pause, or of the target
-	// for the first event, after which a stream without a new event counts as
-	// stalled.
-	stallFraction = 0.45
-	// minStall is the shortest time without an event that counts as a stall.
-	minStall = 60 * time.Millisecond
-	// probeTimeout limits the wait for an endpoint's report.
+	// checkInterval is how often running streams are checked. It delays the notice of a
+	// stall, and is a small part of it.
+	checkInterval = 15 * time.Millisecond
+	// probeTimeout limits the wait for an endpoint's report where no stream's pause limits it.
 	probeTimeout = 60 * time.Millisecond
 	// minProbeDelay is the delay before an endpoint that was not considered failed is
 	// probed again. It doubles while the endpoint stays suspected, up to maxProbeDelay.
@@ -95,6 +91,9 @@
 	progressing int
 	// searching counts the stalled streams for which another chain is looked for.
 	searching int
+	// question limits the wait for the endpoint's report: the shortest limit of the stalled
+	// streams.
+	question time.Duration
 }
 
 // suspected reports whether the endpoint may have failed, because no stream
@@ -110,12 +109,16 @@
 // check probes the suspected endpoints and reroutes the streams around all that have
 // failed. If none has, it reroutes the streams that the endpoints report as stalled.
 func (w *watcher) check(ctx context.Context, now time.Time) {
+	if !w.proxier.anyStalled(now) {
+		clear(w.probes)
+		return
+	}
 	before := w.proxier.progressByEndpoint(now)
 	suspects := w.suspects(now, before)
 	if len(suspects) == 0 {
 		return
 	}
-	results := w.probe(ctx, suspects)
+	results := w.probe(ctx, suspects, before)
 	after := w.proxier.progressByEndpoint(time.Now())
 	var failures []*stageError
 	for i, s := range suspects {
@@ -183,14 +186,15 @@
 	return ""
 }
 
-// probe requests reports from all stages concurrently.
-func (w *watcher) probe(ctx context.Context, stages []identifier.Stage) []probeResult {
+// probe requests reports from all stages concurrently. An endpoint is asked for as long as the
+// pauses of its stalled streams allow.
+func (w *watcher) probe(ctx context.Context, stages []identifier.Stage, streams map[identifier.EndpointIncarnation]*progress) []probeResult {
 	results := make([]probeResult, len(stages))
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	var group errgroup.Group
 	for i, s := range stages {
 		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, streams[s.EndpointIncarnation].question)
+			defer cancel()
 			results[i].report, results[i].err = w.proxier.Orderer.Report(ctx, s.Address)
 			return nil
 		})
@@ -200,6 +204,19 @@
 	return results
 }
 
+// anyStalled reports whether a stream is stalled. It costs less than counting by endpoint, which
+// is not needed as long as nothing is wrong.
+func (x *Proxier) anyStalled(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for a := range x.active {
+		if a.state(now) == stateStalled {
+			return true
+		}
+	}
+	return false
+}
+
 // progressByEndpoint counts, for each endpoint, the stalled and the progressing
 // streams through it.
 func (x *Proxier) progressByEndpoint(now time.Time) map[identifier.EndpointIncarnation]*progress {
@@ -214,7 +231,10 @@
 		for _, s := range a.chain() {
 			p, ok := out[s.EndpointIncarnation]
 			if !ok {
-				p = &progress{stage: s}
+				p = &progress{
+					stage:    s,
+					question: probeTimeout,
+				}
 				out[s.EndpointIncarnation] = p
 			}
 			if state == stateProgressing {
@@ -222,6 +242,7 @@
 				continue
 			}
 			p.stalled++
+			p.question = min(p.question, a.question())
 			if a.searching.Load() {
 				p.searching++
 			}
@@ -240,24 +261,40 @@
 )
 
 // state returns the state of the stream at now. Before the first event the state
-// is unknown until a threshold has passed, because the prompt is being processed.
+// is unknown until a threshold has passed, because the prompt is being processed. So it is
+// while a new stage reads the prompt after a move.
 func (a *attempt) state(now time.Time) streamState {
 	route := a.stream.job.Route
 	latest := a.lastEventAt.Load()
-	if latest == nil {
-		if now.Sub(a.startedAt) > stallThreshold(route.Target) {
-			return stateStalled
-		}
+	if latest != nil && now.Sub(*latest) <= time.Duration(a.stallAfter.Load()) {
+		return stateProgressing
+	}
+	if latest == nil && now.Sub(a.startedAt) <= mover.FirstNotice(route.Target) {
+		return stateUnknown
+	}
+	if moved := a.movedAt.Load(); moved != nil && (latest == nil || moved.After(*latest)) && now.Sub(*moved) <= mover.Reading(route.Gap) {
 		return stateUnknown
 	}
-	if now.Sub(*latest) > stallThreshold(route.Gap) {
-		return stateStalled
+	return stateStalled
+}
+
+// question returns how long the endpoints of the attempt's chain are waited for when they are
+// asked for a report.
+func (a *attempt) question() time.Duration {
+	if a.lastEventAt.Load() == nil {
+		return probeTimeout
 	}
-	return stateProgressing
+	return mover.Question(a.stream.job.Route.Gap)
 }
 
-func stallThreshold(target time.Duration) time.Duration {
-	return max(time.Duration(stallFraction*float64(target)), minStall)
+// recordEventTime records that an event was received at now.
+func (a *attempt) recordEventTime(now time.Time) {
+	longest := a.stream.job.Route.Gap
+	if last := a.lastEventAt.Load(); last != nil {
+		a.pace.Add(now.Sub(*last), longest)
+	}
+	a.stallAfter.Store(int64(mover.Notice(longest, a.pace)))
+	a.lastEventAt.Store(&now)
 }
 
 func (x *Proxier) addActive(a *attempt) {
