Count the load of a stream whose chain is repaired once

Cause: until the old ticket was released, the stages that stay were counted for both tickets, and each repair added a backlog of reading to stages that read nothing again.

Change: two tickets of one stream share the load of the stages that stay, whichever is released first; only new stages get a backlog.

Tests: TestRepairedChainCountedTwice and TestStayingStageReadsAgain failed on the code before; TestRepairsLeakLoad draws repairs, stalls, reports of progress and releases.

--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -80,9 +80,9 @@
 	ask   Ask
 	class *class
 	chain []identifier.Stage
-	// fractions holds, for each stage, the fraction of its endpoint's layers that
-	// the stage uses.
-	fractions      []float64
+	// holds are the loads of the stages, some of which another ticket of the same stream may
+	// share.
+	holds          []*hold
 	cost           float64
 	reservedTokens identifier.Tokens
 	since          time.Time
@@ -386,10 +386,7 @@
 		p.takePace(now, chain[0].EndpointIncarnation)
 	}
 	for _, s := range chain {
-		fraction := p.layerFraction(s)
-		active.fractions = append(active.fractions, fraction)
-		p.addLoad(s.EndpointIncarnation, fraction, active.reservedTokens)
-		p.recordStart(now, s, fraction, active)
+		p.hold(now, active, s)
 		p.prefixes.add(w.ask.Prefix, s.EndpointIncarnation, w.ask.Prompt)
 	}
 }
--- a/router/scheduler/stall.go
+++ b/router/scheduler/stall.go
@@ -25,14 +25,14 @@
 		return
 	}
 	active.stalled = false
-	for i, s := range active.chain {
-		p.addLoad(s.EndpointIncarnation, active.fractions[i], active.reservedTokens)
+	for _, h := range active.holds {
+		p.acquire(h)
 	}
 }
 
 // removeLoads removes an active request from the load of its endpoints.
 func (p *Pool) removeLoads(active *activeRequest) {
-	for i, s := range active.chain {
-		p.removeLoad(s.EndpointIncarnation, active.fractions[i], active.reservedTokens)
+	for _, h := range active.holds {
+		p.drop(h)
 	}
 }
