Refuse requests in time whose callers leave while they wait

Requests that can no longer be on time now wait while their deadline leaves time for an answer.

TestCallersLeaveInQueue fails without the limit: requests wait for longer than their callers stay.

--- a/core/cataloguer/configuration.go
+++ b/core/cataloguer/configuration.go
@@ -43,6 +43,9 @@
 	Target time.Duration
 	// Gap is the longest pause between two events that is on time.
 	Gap time.Duration
+	// Patience is after how long without an event the caller of a stream leaves; 0 if it is
+	// not known.
+	Patience time.Duration
 	// Attempts is the largest number of endpoints that may run one request.
 	Attempts int
 	// Order is the urgency; 0 is the most urgent.
--- a/router/acquirer/promise.go
+++ b/router/acquirer/promise.go
@@ -19,5 +19,8 @@
 	aged := proto.CloneOf(ask)
 	aged.Promise.FirstTokenMs -= passed
 	aged.Promise.RemainingMs -= passed
+	if aged.Promise.PatienceMs != nil {
+		*aged.Promise.PatienceMs -= passed
+	}
 	return aged
 }
--- a/router/granter/promise.go
+++ b/router/granter/promise.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"cmp"
 	"time"
 
 	"heatherhold.dev/core/messenger"
@@ -17,11 +18,18 @@
 	first, firstChanged := promisedTime(m.GetFirstTokenMs(), -maxTermDuration)
 	between, betweenChanged := promisedTime(m.GetBetweenTokensMs(), 0)
 	remaining, remainingChanged := promisedTime(m.GetRemainingMs(), -maxTermDuration)
-	return &scheduler.Promise{
+	promise := &scheduler.Promise{
 		FirstToken:    first,
 		BetweenTokens: between,
 		Remaining:     remaining,
-	}, firstChanged || betweenChanged || remainingChanged
+	}
+	patienceChanged := false
+	if m.PatienceMs != nil {
+		// A time of 0 has passed as well, and stands for an unknown one in the scheduler.
+		promise.Patience, patienceChanged = promisedTime(m.GetPatienceMs(), -maxTermDuration)
+		promise.Patience = cmp.Or(promise.Patience, -1)
+	}
+	return promise, firstChanged || betweenChanged || remainingChanged || patienceChanged
 }
 
 // promisedTime returns ms as a duration of at least lowest and at most maxTermDuration, and
--- a/router/proxier/promise.go
+++ b/router/proxier/promise.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"heatherhold.dev/core/messenger"
 )
 
@@ -18,9 +20,13 @@
 	if received.IsZero() {
 		received = s.timing.startedAt
 	}
-	return &messenger.Promise{
+	promise := &messenger.Promise{
 		FirstTokenMs:    (route.Target - now.Sub(received)).Milliseconds(),
 		BetweenTokensMs: route.Gap.Milliseconds(),
 		RemainingMs:     s.job.Deadline.Sub(now).Milliseconds(),
 	}
+	if route.Patience > 0 {
+		promise.PatienceMs = proto.Int64((route.Patience - now.Sub(received)).Milliseconds())
+	}
+	return promise
 }
--- a/router/scheduler/late_test.go
+++ b/router/scheduler/late_test.go
@@ -342,3 +342,25 @@
 		t.Errorf("got %+v, want a chain for %s, which can be on time", got, want)
 	}
 }
+
+// TestCallersLeaveInQueue guards against requests that wait until their callers, who leave
+// long before the deadline if they receive nothing, are gone.
+func TestCallersLeaveInQueue(t *testing.T) {
+	const patience = 4 * simulatedTarget
+	callers := load(2, time.Minute, usual)
+	for _, c := range callers {
+		c.ask.Promise.Patience = patience
+	}
+	// The memory suffices for half.
+	simulate(t, simulatedPool(oneRank()), callers)
+	onTime, late, refused := count(callers, all)
+	t.Logf("%d requests: %.3f on time, %.3f late, %.3f refused", len(callers), onTime, late, refused)
+	if onTime < 0.45 {
+		t.Errorf("share on time: got %.3f, want 0.45", onTime)
+	}
+	for _, c := range callers {
+		if waited := max(c.first, c.refused) - c.at; waited > patience {
+			t.Errorf("%s: got no answer for %v, want one within %v", c.ask.Request, waited, patience)
+		}
+	}
+}
--- a/router/scheduler/promise.go
+++ b/router/scheduler/promise.go
@@ -13,6 +13,9 @@
 	BetweenTokens time.Duration
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
+	// Patience is the time after which the caller leaves if it has received nothing; 0 if it is
+	// not known.
+	Patience time.Duration
 }
 
 // targets are the times by which one request is scheduled. They come from its promise
@@ -42,13 +45,18 @@
 )
 
 // longestWait returns how long a request of class c that arrives now may wait for a chain.
-// One with a promise may be late, but its deadline has to leave time for its whole response.
+// One with a promise may be late, but its deadline has to leave time for its whole response,
+// and its first token has to arrive before its caller leaves.
 func (p *Pool) longestWait(c *class, a Ask) time.Duration {
 	switch {
 	case a.Resumed:
 		return maxResumedWait
 	case a.Promise != nil:
-		return max(a.Promise.Remaining-p.runTime(a), minPromisedWait)
+		wait := a.Promise.Remaining - p.runTime(a)
+		if a.Promise.Patience != 0 {
+			wait = min(wait, scale(a.Promise.Patience, 1-startMargin)-p.pace.start(a))
+		}
+		return max(wait, minPromisedWait)
 	}
 	return c.rank.MaxWait.Std()
 }
