Let a large request hold back smaller ones for a quarter of its target

While the memory doesn't suffice, smaller requests take what becomes free, and a large one gets a chain only by chance. Of a class, the request that has waited longest now holds back smaller ones, of its class and less urgent ones, once and for at most a quarter of its target, if it is expected to fit by then; those that can't be on time hold back only their like.

Ruled out: holding back whenever a large request is the longest waiting. Where the running requests leave too little memory within the quarter, that only leaves it unused.

Also adds a random test of requests with promises and one of sufficient capacity.

--- a/router/scheduler/late_test.go
+++ b/router/scheduler/late_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/declarer"
 	"heatherhold.dev/core/identifier"
@@ -342,3 +344,96 @@
 		t.Errorf("got %+v, want a chain for %s, which can be on time", got, want)
 	}
 }
+
+// TestSufficientCapacityServesAllOnTime guards against requests of any size that are late although
+// the capacity suffices for all.
+func TestSufficientCapacityServesAllOnTime(t *testing.T) {
+	callers := load(0.8, time.Minute, mixed)
+	simulate(t, simulatedPool(oneRank()), callers)
+	onTime, late, refused := count(callers, all)
+	t.Logf("%d requests: %.3f on time, %.3f late, %.3f refused", len(callers), onTime, late, refused)
+	if onTime < 0.99 {
+		t.Errorf("share on time: got %.3f, want 0.99", onTime)
+	}
+}
+
+// TestPromisedRequests runs random operations with requests of all kinds of promises. It requires
+// that each request is decided exactly once, within its deadline, that none is refused as
+// run, and that no endpoint has more reserved than its memory.
+func TestPromisedRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := simulatedPool(map[identifier.Rank]declarer.Rank{
+			"order-1": rankOf(1, simulatedTarget, 0),
+			"order-2": rankOf(2, simulatedTarget, 0),
+		})
+		now := time.Unix(1000, 0)
+		asks := make(map[identifier.Request]scheduler.Ask)
+		deadlines := make(map[identifier.Request]time.Time)
+		running := make(map[identifier.Request]bool)
+		decided := make(map[identifier.Request]bool)
+		milliseconds := func(name string, least, most int) time.Duration {
+			return time.Duration(rapid.IntRange(least, most).Draw(t, name)) * time.Millisecond
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				a := ask(len(asks), rapid.SampledFrom([]identifier.Rank{"order-1", "order-2"}).Draw(t, "rank"))
+				a.Prompt = identifier.Tokens(rapid.IntRange(0, simulatedMemory).Draw(t, "prompt"))
+				a.Output = identifier.Tokens(rapid.IntRange(1, 500).Draw(t, "output"))
+				a.OutputHint = identifier.Tokens(rapid.IntRange(0, 500).Draw(t, "hint"))
+				a.Promise = &scheduler.Promise{
+					FirstToken:    milliseconds("first", -1000, 1000),
+					BetweenTokens: milliseconds("between", 0, 100),
+					Remaining:     milliseconds("remaining", -100, 5000),
+				}
+				asks[a.Request] = a
+				deadlines[a.Request] = now.Add(a.Promise.Remaining)
+				p.Ask(now, a)
+			},
+			"release": func(t *rapid.T) {
+				for i := range len(asks) {
+					r := ask(i, "").Request
+					if running[r] {
+						p.Release(now, r, scheduler.Outcome{Tokens: identifier.Tokens(rapid.IntRange(0, 500).Draw(t, "tokens"))})
+						delete(running, r)
+						return
+					}
+				}
+			},
+			"pass": func(*rapid.T) {
+				now = now.Add(milliseconds("passed", 1, 500))
+			},
+			"": func(t *rapid.T) {
+				for _, d := range p.Decide(now) {
+					if d.Verdict == scheduler.Revoked {
+						continue
+					}
+					if decided[d.Request] {
+						t.Fatalf("request %s was granted or refused twice", d.Request)
+					}
+					decided[d.Request] = true
+					if d.Verdict == scheduler.Refused {
+						if classifier.ResponseOf(d.Kind).Ran != classifier.RanNo || d.RetryAfter <= 0 {
+							t.Fatalf("got refusal %+v, want a kind of request that did not run and a time to return", d)
+						}
+						continue
+					}
+					running[d.Request] = true
+					// A request is tried for a short time whatever the prediction says.
+					if latest := deadlines[d.Request].Add(200 * time.Millisecond); now.After(latest) {
+						t.Fatalf("request %s got a chain %v after its deadline", d.Request, now.Sub(deadlines[d.Request]))
+					}
+				}
+				prompts := identifier.Tokens(0)
+				for r := range running {
+					prompts += asks[r].Prompt
+				}
+				if prompts > simulatedMemory {
+					t.Fatalf("got prompts of %d tokens at once, want %d at most", prompts, simulatedMemory)
+				}
+				if got, want := p.Waiting()+len(decided), len(asks); got != want {
+					t.Fatalf("got %d requests that wait or are decided, want %d", got, want)
+				}
+			},
+		})
+	})
+}
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -81,6 +81,8 @@
 	// is set once it is behind the requests that can be.
 	lateAt time.Time
 	late   bool
+	// holdUntil is until when the request holds back smaller ones; zero if it hasn't yet.
+	holdUntil time.Time
 }
 
 // activeRequest is a request that holds a chain.
@@ -297,7 +299,11 @@
 		if c == nil {
 			return
 		}
-		if !p.grantFrom(now, c) {
+		granted, held := p.grantFrom(now, c)
+		if held {
+			p.blockAfter(c, blocked)
+		}
+		if !granted {
 			blocked[c] = true
 			p.preempt(now, c)
 			if p.saturated() {
@@ -307,12 +313,23 @@
 	}
 }
 
+// blockAfter blocks the classes that come after c.
+func (p *Pool) blockAfter(c *class, blocked map[*class]bool) {
+	for _, other := range p.classOrder {
+		if c.before(other) {
+			blocked[other] = true
+		}
+	}
+}
+
 // grantFrom starts one request of c: of the first waiting request of each customer,
 // in order of the customers' service, the first that finds a chain. It reports
-// whether one started. Those that can't be on time come after the others.
-func (p *Pool) grantFrom(now time.Time, c *class) bool {
+// whether one started, or else whether one is held back. Those that can't be on time come after
+// the others.
+func (p *Pool) grantFrom(now time.Time, c *class) (granted, held bool) {
 	marked := false
-	for _, w := range c.queueHeads() {
+	heads := c.queueHeads()
+	for _, w := range heads {
 		if now.Sub(w.since) > maxAvoidTime {
 			w.ask.Avoid = nil
 		}
@@ -325,17 +342,20 @@
 			marked = true
 			continue
 		}
+		if p.heldBack(now, heads, w) {
+			return false, true
+		}
 		c.remove(w)
 		delete(p.waiting, w.ask.Request)
 		p.start(now, c, w, chain)
 		p.grant(w.ask.Request, chain)
-		return true
+		return true, false
 	}
 	if marked {
 		// Those that were moved may be served after the others that can be on time.
 		return p.grantFrom(now, c)
 	}
-	return false
+	return false, false
 }
 
 func (p *Pool) grant(r identifier.Request, chain []identifier.Stage) {
