--- a/router/scheduler/hold.go
+++ b/router/scheduler/hold.go
@@ -6,84 +6,70 @@
 	"heatherhold.dev/core/identifier"
 )
 
-// hold is the load of one stream at one endpoint. While a chain is repaired two tickets hold
-// its stages that stay; they share the hold, so that the load counts once, whichever of the two
-// is released first.
-type hold struct {
-	stage identifier.Stage
-	// fraction is the fraction of the endpoint's layers that the stage uses.
-	fraction float64
-	tokens   identifier.Tokens
-	// holders is how many tickets hold the stage and make progress. The load counts while it
-	// is over 0.
-	holders int
-}
+// holdFraction is the share of the time until its first token is due for which a request may
+// hold back smaller ones.
+const holdFraction = 0.25
 
-// acquire counts the load of a hold for one more ticket.
-func (p *Pool) acquire(h *hold) {
-	h.holders++
-	if h.holders == 1 {
-		p.addLoad(h.stage.EndpointIncarnation, h.fraction, h.tokens)
+// heldBack reports whether w, which has found a chain, has to wait because a larger request that
+// has waited longer needs the memory. heads are the first requests of the customers of its
+// class.
+func (p *Pool) heldBack(now time.Time, heads []*waitingRequest, w *waitingRequest) bool {
+	if p.holdsBack(now, longestWaiting(heads, false), w) {
+		return true
 	}
+	return w.late && p.holdsBack(now, longestWaiting(heads, true), w)
 }
 
-// drop ends the load of a hold for one ticket.
-func (p *Pool) drop(h *hold) {
-	h.holders--
-	if h.holders == 0 {
-		p.removeLoad(h.stage.EndpointIncarnation, h.fraction, h.tokens)
+// longestWaiting returns, of the requests with a promise that can be on time or of those that
+// can't, the one that has waited longest; nil if there is none.
+func longestWaiting(heads []*waitingRequest, late bool) *waitingRequest {
+	var longest *waitingRequest
+	for _, w := range heads {
+		if w.ask.Promise == nil || w.late != late {
+			continue
+		}
+		if longest == nil || w.since.Before(longest.since) {
+			longest = w
+		}
 	}
+	return longest
 }
 
-// grow raises the tokens for which a hold reserves memory: the request has received a part of
-// its response since.
-func (p *Pool) grow(h *hold, tokens identifier.Tokens) {
-	if tokens <= h.tokens {
-		return
+// holdsBack reports whether h, which may be nil, holds back w.
+func (p *Pool) holdsBack(now time.Time, h, w *waitingRequest) bool {
+	if h == nil || h == w || p.size(h.ask) <= p.size(w.ask) {
+		return false
 	}
-	if h.holders > 0 {
-		p.state(h.stage.EndpointIncarnation).load.reservedTokens += scale(tokens, h.fraction) - scale(h.tokens, h.fraction)
+	if !h.holdUntil.IsZero() {
+		return now.Before(h.holdUntil) && p.plan(h.ask) == nil
 	}
-	h.tokens = tokens
+	window := scale(h.ask.Promise.FirstToken, holdFraction)
+	if window <= 0 || p.plan(h.ask) != nil || !p.fitsAfter(now, h.ask, window) {
+		return false
+	}
+	h.holdUntil = now.Add(window)
+	return true
 }
 
-// kept returns the hold of the active request r on a stage, if its chain includes exactly that
-// stage; otherwise nil.
-func (p *Pool) kept(r identifier.Request, s identifier.Stage) *hold {
-	active, ok := p.active[r]
-	if r == "" || !ok {
-		return nil
-	}
-	for _, h := range active.holds {
-		if h.stage.EndpointIncarnation == s.EndpointIncarnation && h.stage.From == s.From && h.stage.To == s.To {
-			return h
-		}
-	}
-	return nil
+// size returns the memory that a needs, in tokens.
+func (p *Pool) size(a Ask) identifier.Tokens {
+	need := p.need(a, "")
+	return need.Tokens()
 }
 
-// hold makes an active request hold a stage of its chain. A stage that stays when a chain is
-// repaired is counted already and reads nothing.
-func (p *Pool) hold(now time.Time, active *activeRequest, s identifier.Stage) {
-	h := p.kept(active.ask.Repairs, s)
-	reads := h == nil
-	if reads {
-		h = &hold{
-			stage:    s,
-			fraction: p.layerFraction(s),
-			tokens:   active.reservedTokens,
+// fitsAfter reports whether a, which finds no chain now, is expected to find one after d if
+// nothing else starts until then: if not, it would hold back others in vain.
+func (p *Pool) fitsAfter(now time.Time, a Ask, d time.Duration) bool {
+	defer p.updateLoads(now)
+	for _, active := range p.active {
+		if active.stalled || active.since.Add(p.runTime(active.ask)).After(now.Add(d)) {
+			continue
+		}
+		for _, h := range active.holds {
+			if r := p.runner(h.stage.EndpointIncarnation); r != nil {
+				r.ReservedTokens -= scale(h.tokens, h.fraction)
+			}
 		}
 	}
-	p.grow(h, active.reservedTokens)
-	p.acquire(h)
-	active.holds = append(active.holds, h)
-	if reads {
-		p.recordStart(now, s, h.fraction, active)
-		return
-	}
-	if r := p.runner(s.EndpointIncarnation); r != nil {
-		state := p.state(s.EndpointIncarnation)
-		r.Running = max(r.Running, state.load.usedSlots()+state.foreignStreams)
-		r.ReservedTokens = state.load.reservedTokens
-	}
+	return p.plan(a) != nil
 }
