Get the list of endpoints from a peer at the start

An instance that started while the store was unavailable had no endpoints until the store was back, although its peers knew them. Only an instance that never held a copy does so, so that nothing is taken back and no endpoint can count as departed; the feed goes on from the copy's position. Copies of an older era than the one known are set aside, and rows that are newer than their copy.

A call to the store that is given up no longer counts as its failure.

--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -116,6 +116,11 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_unknown_answers_total{service=%q}`, s)).Add(n)
 }
 
+// CountPeerCopy counts a question of this starting instance for another's list of endpoints.
+func (r *Reporter) CountPeerCopy(outcome string) {
+	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_lists_from_peers_total{outcome=%q}`, outcome)).Inc()
+}
+
 // RecordStoreCall records a call of the platform's store by its outcome and duration.
 func (r *Reporter) RecordStoreCall(name string, d time.Duration, err error) {
 	outcome := "ok"
--- a/router/sharer/copy.go
+++ b/router/sharer/copy.go
@@ -125,8 +125,11 @@
 }
 
 // Reply returns the answer to a request, or nil if there is no change yet and last is
-// not set.
+// not set. A requester that accepts a copy of any age gets it also after the store failed.
 func (c *Copy) Reply(now time.Time, maxAge time.Duration, r *messenger.ReadRequest, last bool) *messenger.ReadReply {
+	if r.GetAnyAge() && r.GetWhole() && c.rows != nil {
+		return c.reply(now, 0, false)
+	}
 	if c.rows == nil || c.unavailable || c.age(now) > maxAge {
 		return &messenger.ReadReply{Unavailable: true}
 	}
--- a/router/sharer/sharer.go
+++ b/router/sharer/sharer.go
@@ -67,7 +67,18 @@
 	OnRead func(table, source string, err error)
 	// OnEra, if not nil, is called with the era of the store that an instance's copy shows.
 	OnEra func(identifier.Era)
-	Log   logrus.FieldLogger
+	// FirstFromPeers has the tables of which a starting instance takes any instance's copy,
+	// however old, while it holds none and the normal read fails or takes long.
+	FirstFromPeers map[string]bool
+	// Address is this instance's own peer address. Seeds are the peer addresses that are asked
+	// for such a copy while no member is known.
+	Address string
+	Seeds   []string
+	// Era, if not nil, returns the newest era of the store that this instance knows of.
+	Era func() identifier.Era
+	// OnPeerCopy, if not nil, is called with the outcome of each question for such a copy.
+	OnPeerCopy func(outcome string)
+	Log        logrus.FieldLogger
 
 	mu     sync.Mutex
 	tables map[string]*table
@@ -116,10 +127,15 @@
 
 // Rows returns all rows of a table.
 func (s *Sharer) Rows(ctx context.Context, name string) (storer.Page, error) {
-	return s.read(ctx, s.table(name), &messenger.ReadRequest{
+	t := s.table(name)
+	r := &messenger.ReadRequest{
 		Table: name,
 		Whole: true,
-	})
+	}
+	if s.FirstFromPeers[name] && t.neverRead() {
+		return s.readFirst(ctx, t, r)
+	}
+	return s.read(ctx, t, r)
 }
 
 // Feed returns the changes of a table after a position. If there are none yet, it
@@ -143,6 +159,10 @@
 	} else {
 		page, err = s.Store.Feed(ctx, t.name, positionOf(r), time.Duration(r.GetWaitMs())*time.Millisecond)
 	}
+	if err != nil && ctx.Err() != nil {
+		// The call was given up, which says nothing about the store.
+		return page, err
+	}
 	s.observe(t, sourceStore, err)
 	if errors.Is(err, storer.ErrHistoryDropped) {
 		return page, err
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -118,7 +118,13 @@
 		},
 		OnRead: p.CountRead,
 		OnEra:  func(era identifier.Era) { store.LearnEra(era) },
-		Log:    log,
+		// A configuration comes with the exchanges, which also say how long it may be used.
+		FirstFromPeers: map[string]bool{translator.EndpointsTable: true},
+		Address:        s.Listen.Peer,
+		Seeds:          s.Store.Seeds,
+		Era:            func() identifier.Era { return store.History().Era },
+		OnPeerCopy:     p.CountPeerCopy,
+		Log:            log,
 	}
 }
 
@@ -236,6 +242,17 @@
 	return 0
 }
 
+// noList is the age that the metric of the list of endpoints has without a list.
+const noList = -1
+
+// listAge returns the age of the list of endpoints in seconds; noList if there is none.
+func listAge(pub *publisher.Publisher, sh *sharer.Sharer) float64 {
+	if pub.List() == (identifier.Position{}) && pub.View().EndpointCount() == 0 {
+		return noList
+	}
+	return sh.Age(translator.EndpointsTable).Seconds()
+}
+
 // registerGauges registers the metrics whose values are read when metrics are
 // written.
 func registerGauges(p *reporter.Reporter, pub *publisher.Publisher, r *receiver.Receiver, x *proxier.Proxier, q *quarantiner.Quarantiner, store *storer.Client, sh *sharer.Sharer, w *logger.Writer) {
@@ -255,6 +272,7 @@
 	p.Gauge("heatherhold_live_instances", func() float64 { return float64(len(pub.View().Live)) })
 	p.Gauge("heatherhold_confirmed_seconds", func() float64 { return time.Until(pub.ConfirmedUntil()).Seconds() })
 	p.Gauge("heatherhold_log_lines_dropped", func() float64 { return float64(w.Dropped()) })
+	p.Gauge("heatherhold_endpoint_list_age_seconds", func() float64 { return listAge(pub, sh) })
 	p.Gauge("heatherhold_endpoints", func() float64 { return float64(pub.View().EndpointCount()) })
 }
 
