Let only instances with a list of endpoints own pools

A strong instance that had just restarted owned its pool again as soon as the others heard from it, with or without endpoints to grant. A member now states `unlisted` until its first list, and is no candidate for owner as long as another has a list. Readers of the store are chosen as before: they get their list by reading.

--- a/router/assigner/assigner.go
+++ b/router/assigner/assigner.go
@@ -16,6 +16,8 @@
 	// Processor is the processor time that the instance may use, in thousandths of a
 	// core; 0 if it is not known.
 	Processor uint32
+	// Unlisted is set if the instance has no list of endpoints.
+	Unlisted bool
 }
 
 // strongestShare is the least share of the strongest candidate's processor time that
@@ -24,8 +26,23 @@
 const strongestShare = 0.5
 
 // Eligible returns the candidates that may own pools, in the order in which they are
-// given: those that are about as strong as the strongest.
+// given: of those that have a list of endpoints the ones that are about as strong as the
+// strongest of them. If none has a list, all count.
 func Eligible(candidates []Candidate) []identifier.Instance {
+	var listed []Candidate
+	for _, c := range candidates {
+		if !c.Unlisted {
+			listed = append(listed, c)
+		}
+	}
+	if len(listed) == 0 {
+		listed = candidates
+	}
+	return strong(listed)
+}
+
+// strong returns the candidates that are about as strong as the strongest.
+func strong(candidates []Candidate) []identifier.Instance {
 	var strongest uint32
 	for _, c := range candidates {
 		strongest = max(strongest, c.Processor)
@@ -80,20 +97,21 @@
 
 // Readers returns the instances that read the platform's store, one for each site, in
 // the order in which an instance of the given site asks them: its own site's first,
-// the others in an order that differs between sites.
+// the others in an order that differs between sites. Instances without a list of endpoints
+// count as well: they get it by reading.
 func Readers(site identifier.Site, candidates []Candidate) []identifier.Instance {
 	bySite := make(map[identifier.Site][]Candidate)
 	for _, c := range candidates {
 		bySite[c.Site] = append(bySite[c.Site], c)
 	}
 	var out []identifier.Instance
-	if own, ok := Owner(readerPool, Eligible(bySite[site])); ok {
+	if own, ok := Owner(readerPool, strong(bySite[site])); ok {
 		out = append(out, own)
 	}
 	delete(bySite, site)
 	var others []identifier.Instance
 	for _, list := range bySite {
-		if reader, ok := Owner(readerPool, Eligible(list)); ok {
+		if reader, ok := Owner(readerPool, strong(list)); ok {
 			others = append(others, reader)
 		}
 	}
--- a/router/assigner/assigner_test.go
+++ b/router/assigner/assigner_test.go
@@ -62,3 +62,36 @@
 		t.Error("no instance: got an owner")
 	}
 }
+
+// TestUnlistedInstanceOwnsPool guards against an owner that has just started and has no list of
+// endpoints while others have one, and against a pool without an owner if none has.
+func TestUnlistedInstanceOwnsPool(t *testing.T) {
+	for _, n := range []int{9, 60, 195, 1700} {
+		list := candidates(n, 8)
+		readers := assigner.Readers("", list)
+		for i := range list {
+			list[i].Unlisted = i%16 == 0
+		}
+		eligible := assigner.Eligible(list)
+		for i, c := range list {
+			if got, want := slices.Contains(eligible, c.Instance), i%8 == 0 && i%16 != 0; got != want {
+				t.Fatalf("%d instances, instance %d: got eligible %v, want %v", n, i, got, want)
+			}
+		}
+		if got := assigner.Readers("", list); !slices.Equal(got, readers) {
+			t.Errorf("%d instances: got readers %v, want %v as with lists", n, got, readers)
+		}
+		for i := range list {
+			list[i].Unlisted = list[i].Processor == 800
+		}
+		if got, want := len(assigner.Eligible(list)), n-(n+7)/8; got != want {
+			t.Errorf("%d instances, all strong ones unlisted: got %d eligible, want %d", n, got, want)
+		}
+		for i := range list {
+			list[i].Unlisted = true
+		}
+		if got, want := len(assigner.Eligible(list)), (n+7)/8; got != want {
+			t.Errorf("%d instances, all unlisted: got %d eligible, want %d", n, got, want)
+		}
+	}
+}
--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -97,6 +97,7 @@
 				Site:        string(s.Site),
 				Incarnation: uint64(now.UnixNano()),
 				Processor:   processorOf(s),
+				Unlisted:    s.Store != nil,
 			},
 			Term:      s.Peer.Term.Std(),
 			StartedAt: now,
@@ -392,5 +393,6 @@
 		Refutations: old.GetRefutations(),
 		Leaving:     leaving,
 		Gone:        gone,
+		Unlisted:    old.GetUnlisted(),
 	}
 }
--- a/router/controller/source.go
+++ b/router/controller/source.go
@@ -174,6 +174,12 @@
 		// Entries of the lost seconds are missing until they are written again.
 		f.lastFailure = now
 	}
+	if c.state.Self.GetUnlisted() {
+		c.state.SetListed()
+		c.Log.WithField("era", change.Position.Era).WithField("version", change.Position.Version).
+			WithField("age-ms", now.Sub(change.RequestedAt).Milliseconds()).
+			Info("list of endpoints known; this instance may own pools")
+	}
 	c.holdReturned(now, &change)
 	before := f.position
 	if f.position.Before(change.Position) {
--- a/router/controller/source_test.go
+++ b/router/controller/source_test.go
@@ -113,6 +113,12 @@
 
 // startNamed is startConfigured for an instance with a name and a peer address.
 func startNamed(t testing.TB, name identifier.Instance, address string, configure func(*controller.Controller)) *instance {
+	t.Helper()
+	return startSettings(t, name, address, func(*loader.Settings) {}, configure)
+}
+
+// startSettings is startNamed for an instance with settings of its own.
+func startSettings(t testing.TB, name identifier.Instance, address string, set func(*loader.Settings), configure func(*controller.Controller)) *instance {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -121,6 +127,7 @@
 	s.Peer.Term = identifier.DurationOf(2 * time.Second)
 	s.Peer.Interval = identifier.DurationOf(time.Second)
 	s.Platform.ListInterval = identifier.DurationOf(time.Second)
+	set(s)
 	loop := executor.New()
 	i := &instance{
 		publisher: publisher.New(),
--- a/router/gossiper/members.go
+++ b/router/gossiper/members.go
@@ -156,6 +156,7 @@
 		a.GetGone() == b.GetGone() &&
 		a.GetAddress() == b.GetAddress() &&
 		a.GetProcessor() == b.GetProcessor() &&
+		a.GetUnlisted() == b.GetUnlisted() &&
 		a.GetRefutations() == b.GetRefutations()
 }
 
@@ -172,6 +173,7 @@
 		Refutations: max(old.GetRefutations(), m.GetRefutations()),
 		Leaving:     old.GetLeaving() || m.GetLeaving(),
 		Gone:        old.GetGone() || m.GetGone(),
+		Unlisted:    unlisted(old, m),
 	}
 }
 
@@ -264,6 +266,7 @@
 			Instance:  identifier.Instance(m.GetInstance()),
 			Site:      identifier.Site(m.GetSite()),
 			Processor: m.GetProcessor(),
+			Unlisted:  m.GetUnlisted(),
 		})
 	}
 	return candidates
