--- a/router/granter/unknown_test.go
+++ b/router/granter/unknown_test.go
@@ -192,3 +192,27 @@
 		t.Error("with an endpoint that holds every layer: got not covered, want covered")
 	}
 }
+
+// TestTwoOwnersOnOwnLists guards against an owner that leaves decisions to entries because another
+// owner, or an entry, has a newer list: as long as it finds chains, it grants, and says on which list.
+func TestTwoOwnersOnOwnLists(t *testing.T) {
+	for _, version := range []identifier.RowVersion{10, 20} {
+		o := newRestartedOwner(t)
+		o.learnList(listAt(version))
+		stream := o.askOnList(t, 1, listAt(20))
+		var got identifier.Position
+		for deadline := time.Now().Add(timeout); got == (identifier.Position{}) && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			for _, m := range stream.Receive() {
+				if len(m.GetUnknown()) > 0 {
+					t.Errorf("owner at version %d: got an unknown answer, want a grant", version)
+				}
+				if len(m.GetGrants()) > 0 {
+					got = m.GetList().Position()
+				}
+			}
+		}
+		if want := listAt(version); got != want {
+			t.Errorf("position of the list behind the grant: got %v, want %v", got, want)
+		}
+	}
+}
