Decide in router/mover which streams move first, and bound the moves

Cause: all streams of a failed endpoint were moved at once, and their new stages read the prompts of all of them at once.

A stream that makes progress before its turn stays. A move by order is also tried where no retry is left for a second run.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -52,6 +52,8 @@
 	stallAfter atomic.Int64
 	// movedAt is when the first stage last continued over another chain; nil if never.
 	movedAt atomic.Pointer[time.Time]
+	// expected gets the time of the next event; nil if nobody waits for it.
+	expected atomic.Pointer[chan time.Time]
 
 	// pending holds the events without an id since the last event with one.
 	pending []byte
@@ -281,6 +283,7 @@
 			return s.writeEvents(out, a.pending)
 		}
 		if err == nil {
+			a.reportEvent(time.Now())
 			a.stopSearching()
 			err = a.bufferEvent(e)
 		}
--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -18,6 +18,21 @@
 	errSameEndpoint = errors.New("the only chain is through the same endpoint")
 )
 
+// leave moves an attempt without progress to another chain, or looks for one until there is one.
+func (a *attempt) leave(ctx context.Context, cause *stageError) {
+	move, stop := context.WithCancel(ctx)
+	defer stop()
+	defer context.AfterFunc(a.ctx, stop)()
+	err := a.moveAround(ctx, move, cause)
+	if errors.Is(err, errResumed) {
+		a.forgive()
+		return
+	}
+	if err != nil {
+		a.handOver(ctx, cause)
+	}
+}
+
 // handOver looks for another chain for an attempt without progress, for its run or for
 // another one. An endpoint that is silent may be sound, so that the attempt goes on
 // meanwhile: the search ends with its next event, or once another run has begun to answer.
@@ -85,9 +100,13 @@
 // another chain. ctx is that of the new run, which outlives the search.
 func (a *attempt) tryHandOver(ctx, search context.Context, cause *stageError) error {
 	if !a.replaceable() {
-		return a.moveAround(search)
+		return a.moveAround(ctx, search, cause)
 	}
 	b, err := a.acquireSuccessor(ctx, search)
+	if errors.Is(err, errNoRetryLeft) && a.moveAround(ctx, search, cause) == nil {
+		// A move by order is no retry.
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/router/proxier/moves_test.go
+++ b/router/proxier/moves_test.go
@@ -6,16 +6,20 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/acquirer"
+	"heatherhold.dev/router/mover"
+	"heatherhold.dev/router/proxier"
 )
 
 // movingTickets grants each request its own chain, and each ask that moves a stream the chain
@@ -23,6 +27,8 @@
 type movingTickets struct {
 	first map[string][]identifier.Stage
 	moved map[string][]identifier.Stage
+	// refusals is how many moves are refused before the first one is granted.
+	refusals int
 
 	mu    sync.Mutex
 	moves []*messenger.Ask
@@ -34,7 +40,11 @@
 	}
 	m.mu.Lock()
 	m.moves = append(m.moves, ask)
+	refused := len(m.moves) <= m.refusals
 	m.mu.Unlock()
+	if refused {
+		return nil, classifier.New(classifier.Overloaded, "no chain available")
+	}
 	if chain, ok := m.moved[ask.GetMoves()]; ok {
 		return acquirer.NewTicket(ask, chain), nil
 	}
@@ -99,15 +109,15 @@
 	return o.reports
 }
 
-// stallUntil returns a serve function that sends one event, and the rest after resume.
-func stallUntil(resume <-chan struct{}, last int) func(int, io.Writer) {
+// stallUntil returns a serve function that sends one of three events, and the rest after resume.
+func stallUntil(resume <-chan struct{}) func(int, io.Writer) {
 	return func(after int, w io.Writer) {
 		fallSilent(1)(after, w)
 		select {
 		case <-resume:
 		case <-time.After(3 * time.Second):
 		}
-		for i := 2; i <= last; i++ {
+		for i := 2; i <= 3; i++ {
 			writeChunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
 		}
 		fmt.Fprint(w, "0\r\n\r\n")
@@ -128,7 +138,7 @@
 	f.proxier.Orderer, f.proxier.Tickets = orders, tickets
 	spare := newEndpoint(t, "spare", dropConnection)
 	add := func(id string, resume <-chan struct{}) *endpoint {
-		first := newEndpoint(t, "first-"+id, stallUntil(resume, 3))
+		first := newEndpoint(t, "first-"+id, stallUntil(resume))
 		dead := newEndpoint(t, "dead-"+id, dropConnection)
 		orders.silent = append(orders.silent, dead.Address)
 		tickets.first[id+".1"] = []identifier.Stage{stage(first, 0, 2), stage(dead, 2, 4)}
@@ -163,7 +173,7 @@
 func TestStreamMovedToFailedEndpoint(t *testing.T) {
 	f := newFixture(cataloguer.AtMostOnce, true)
 	orders := newMovingOrders(f)
-	first := newEndpoint(t, "first", stallUntil(orders.onMove("r"), 3))
+	first := newEndpoint(t, "first", stallUntil(orders.onMove("r")))
 	var dead, spare [2]*endpoint
 	for i := range dead {
 		dead[i] = newEndpoint(t, fmt.Sprint("dead", i), dropConnection)
@@ -234,7 +244,7 @@
 	orders := newMovingOrders(f)
 	moved := orders.onMove("r")
 	reading := make(chan struct{})
-	first := newEndpoint(t, "first", stallUntil(reading, 3))
+	first := newEndpoint(t, "first", stallUntil(reading))
 	dead := newEndpoint(t, "dead", dropConnection)
 	spare := newEndpoint(t, "spare", dropConnection)
 	orders.silent = append(orders.silent, dead.Address)
@@ -263,3 +273,84 @@
 		t.Errorf("got %d reports requested while the new stage read the prompt, want none", probes)
 	}
 }
+
+// TestStagesReadForTooManyStreams guards against new stages that are asked to read the prompts of
+// all streams of a failed endpoint at once, and against streams that never get their turn.
+func TestStagesReadForTooManyStreams(t *testing.T) {
+	const streams = 3 * mover.Limit
+	f := newFixture(cataloguer.AtMostOnce, true)
+	f.route.Gap = 400 * time.Millisecond
+	orders := newMovingOrders(f)
+	tickets := &movingTickets{
+		first: make(map[string][]identifier.Stage),
+		moved: make(map[string][]identifier.Stage),
+	}
+	f.proxier.Orderer, f.proxier.Tickets = orders, tickets
+	dead := newEndpoint(t, "dead", dropConnection)
+	spare := newEndpoint(t, "spare", dropConnection)
+	orders.silent = append(orders.silent, dead.Address)
+	var reading, most atomic.Int64
+	for i := range streams {
+		id := fmt.Sprint("r", i)
+		moved := orders.onMove(identifier.Request(id))
+		first := newEndpoint(t, "first-"+id, func(after int, w io.Writer) {
+			fallSilent(1)(after, w)
+			select {
+			case <-moved:
+			case <-time.After(4 * time.Second):
+				return
+			}
+			now := reading.Add(1)
+			for old := most.Load(); now > old && !most.CompareAndSwap(old, now); old = most.Load() {
+			}
+			time.Sleep(60 * time.Millisecond)
+			reading.Add(-1)
+			writeChunk(w, "id: 2\ndata: 2\n\n")
+			fmt.Fprint(w, "0\r\n\r\n")
+		})
+		tickets.first[id+".1"] = []identifier.Stage{stage(first, 0, 2), stage(dead, 2, 4)}
+		tickets.moved[id+".1"] = []identifier.Stage{stage(first, 0, 2), stage(spare, 2, 4)}
+	}
+	f.watch(t)
+	var group errgroup.Group
+	for i := range streams {
+		group.Go(func() error {
+			_, err := f.serveAs(fmt.Sprint("r", i), &f.route, 5*time.Second)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Errorf("got error %v, want all streams whole", err)
+	}
+	if got := most.Load(); got > mover.Limit {
+		t.Errorf("got %d streams whose new stage reads at once, want %d at most", got, mover.Limit)
+	}
+}
+
+// TestMoveNeedsRetry guards against a stream that stays at a failed endpoint because no retry is
+// left, although its first stage could go on over another chain: a move is no second run.
+func TestMoveNeedsRetry(t *testing.T) {
+	f := newFixture(cataloguer.Resumable, true)
+	f.proxier.Retries = proxier.Retries{}
+	orders := newMovingOrders(f)
+	first := newEndpoint(t, "first", stallUntil(orders.onMove("r")))
+	dead := newEndpoint(t, "dead", dropConnection)
+	spare := newEndpoint(t, "spare", dropConnection)
+	orders.silent = append(orders.silent, dead.Address)
+	f.proxier.Orderer = orders
+	f.proxier.Tickets = &movingTickets{
+		first:    map[string][]identifier.Stage{"r.1": {stage(first, 0, 2), stage(dead, 2, 4)}},
+		moved:    map[string][]identifier.Stage{"r.1": {stage(first, 0, 2), stage(spare, 2, 4)}},
+		refusals: 2,
+	}
+	f.watch(t)
+	start := time.Now()
+	w, err := f.serveAs("r", &f.route, 5*time.Second)
+	requireEvents(t, ids(w.Body.String()), err, "1 2 3")
+	if got, want := time.Since(start), 2*time.Second; got > want {
+		t.Errorf("the stream went on after %v, want at most %v: a chain was free", got, want)
+	}
+	if got := len(first.runs()); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -91,6 +91,7 @@
 	quota    byteQuota
 	reports  crashReports
 	lostRuns lostRuns
+	turns    turns
 
 	mu      sync.Mutex
 	budgets map[identifier.Service]*budget
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -58,26 +58,66 @@
 	return slices.Clone(a.givenUp)
 }
 
+// forgive forgets the endpoints that were given up, since the attempt makes progress.
+func (a *attempt) forgive() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.givenUp = nil
+}
+
 // containsAny reports whether a chain includes one of the endpoint incarnations.
 func containsAny(chain []identifier.Stage, incarnations []identifier.EndpointIncarnation) bool {
 	return slices.ContainsFunc(incarnations, func(i identifier.EndpointIncarnation) bool { return contains(chain, i) })
 }
 
+// errResumed reports a stream that made progress before its turn to be moved.
+var errResumed = errors.New("the stream made progress")
+
 // moveAround makes the first stage continue over a chain without the endpoints that were given
-// up.
-func (a *attempt) moveAround(ctx context.Context) error {
-	chain, failed := a.chain(), a.avoided()
-	if containsAny(chain[:1], failed) || a.stream.engine.Layers == 0 || a.unanswered() {
+// up, when it is the attempt's turn. ctx is that of the wait for the new stages, which outlives
+// the search.
+func (a *attempt) moveAround(ctx, search context.Context, cause *stageError) error {
+	if containsAny(a.chain()[:1], a.avoided()) || a.stream.engine.Layers == 0 || a.unanswered() {
 		return errFirstStage
 	}
+	before := a.lastEventAt.Load()
+	own, err := a.awaitTurn(search)
+	if err != nil {
+		return errors.Wrap(err, "wait for the turn to be moved")
+	}
+	m := &move{
+		turn:      own,
+		failed:    a.avoided(),
+		startedAt: time.Now(),
+	}
+	switch {
+	case len(m.failed) == 0 || cause.detail != reasonSlow && a.lastEventAt.Load() != before:
+		err = errResumed
+	case containsAny(a.chain()[:1], m.failed):
+		err = errFirstStage
+	default:
+		err = a.tryChains(search, m)
+	}
+	if err != nil {
+		own.end()
+		return err
+	}
+	a.awaitReading(ctx, m)
+	return nil
+}
+
+// tryChains reroutes the stream over one of up to maxRerouteChains chains without the endpoints
+// that were given up.
+func (a *attempt) tryChains(ctx context.Context, m *move) error {
 	ctx, cancel := context.WithTimeout(ctx, rerouteTimeout)
 	defer cancel()
-	avoid := failed
+	first := a.chain()[0].EndpointIncarnation
+	avoid := slices.Clone(m.failed)
 	var err error
 	for range maxRerouteChains {
 		var missing identifier.EndpointIncarnation
-		missing, err = a.tryReroute(ctx, avoid, failed)
-		if err == nil || !errors.Is(err, director.ErrStageUnavailable) || missing.Endpoint == "" || missing == chain[0].EndpointIncarnation {
+		missing, err = a.tryReroute(ctx, m, avoid)
+		if err == nil || !errors.Is(err, director.ErrStageUnavailable) || missing.Endpoint == "" || missing == first {
 			return err
 		}
 		avoid = append(avoid, missing)
@@ -86,9 +126,9 @@
 }
 
 // tryReroute acquires a chain with the same first stage and without the endpoints in avoid,
-// and reroutes the stream over it; failed are those that were given up. With
-// director.ErrStageUnavailable it returns the stage that could not join the chain.
-func (a *attempt) tryReroute(ctx context.Context, avoid, failed []identifier.EndpointIncarnation) (identifier.EndpointIncarnation, error) {
+// and reroutes the stream over it. With director.ErrStageUnavailable it returns the stage that
+// could not join the chain.
+func (a *attempt) tryReroute(ctx context.Context, m *move, avoid []identifier.EndpointIncarnation) (identifier.EndpointIncarnation, error) {
 	x := a.stream.proxier
 	ticket, err := a.stream.acquireListed(ctx, avoid, a.chain(), func() *messenger.Ask {
 		ask := a.stream.newAsk()
@@ -99,12 +139,15 @@
 	if err != nil {
 		return identifier.EndpointIncarnation{}, err
 	}
+	// The next event may come before the response to the order.
+	m.event = a.expectEvent()
 	address, err := x.Orderer.Repath(ctx, a.stream.job.Request.ID, ticket.Chain)
 	if err != nil {
 		ticket.Release(acquirer.Outcome{})
 		return stageAt(ticket.Chain, address).EndpointIncarnation, err
 	}
-	a.replaceTicket(ticket, failed)
+	m.orderedAt = time.Now()
+	a.replaceTicket(ticket, m.failed)
 	return identifier.EndpointIncarnation{}, nil
 }
 
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -51,8 +51,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			// The searches end with ctx and return no error.
+			// The searches and the moves end with ctx and return no error.
 			_ = w.searches.Wait()
+			_ = x.turns.readings.Wait()
 			return nil
 		case now := <-t.C:
 			w.check(ctx, now)
@@ -170,8 +171,13 @@
 	err    error
 }
 
-// reasonUnresponsive is the reason of an endpoint that did not respond to a probe.
-const reasonUnresponsive = "does not respond"
+// The reasons why an endpoint is considered failed.
+const (
+	// reasonUnresponsive is that of an endpoint that did not respond to a probe.
+	reasonUnresponsive = "does not respond"
+	// reasonSlow is that of an endpoint that reports that it is slow.
+	reasonSlow = "is slow"
+)
 
 // fault returns the reason why an endpoint is considered failed, or an empty
 // string if it is not. An endpoint that does not respond is not considered failed
@@ -181,7 +187,7 @@
 	case r.err != nil && p != nil && p.stalled > 0 && p.progressing == 0:
 		return reasonUnresponsive
 	case r.err == nil && r.report.Slowdown >= slowdownThreshold && p.suspected():
-		return "is slow"
+		return reasonSlow
 	}
 	return ""
 }
@@ -383,9 +389,7 @@
 		}
 		w.searches.Go(func() error {
 			defer a.searching.Store(false)
-			if err := a.moveAround(ctx); err != nil {
-				a.handOver(ctx, cause)
-			}
+			a.leave(ctx, cause)
 			return nil
 		})
 	}
