Record what the pause of each moved stream goes to

Change: histogram heatherhold_move_seconds{service,step} and the same figures, with the wait for the turn, in the log line of a moved stream, which is now written with its next event.

Tests: TestStepsOfMoveUnknown; TestRefusedMoveLosesTime and TestResumedStreamMoved for moves that end halfway.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -96,6 +96,10 @@
 type stageError struct {
 	incarnation identifier.EndpointIncarnation
 	detail      string
+	// noticedAt is when streams through the stage were seen to be stalled, and question how
+	// long endpoints were then asked for reports.
+	noticedAt time.Time
+	question  time.Duration
 }
 
 // Error returns the stage and the reason for its failure.
--- a/router/proxier/move.go
+++ b/router/proxier/move.go
@@ -4,32 +4,52 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/mover"
+	"heatherhold.dev/router/reporter"
 )
 
 // move is one move of a stream to another chain.
 type move struct {
-	turn *turn
-	// failed are the endpoints that are left.
+	turn  *turn
+	cause *stageError
+	// failed are the endpoints that are left, and chain is the new one; nil if the stream ended
+	// first.
 	failed []identifier.EndpointIncarnation
-	// startedAt is when the first ticket was requested, and orderedAt when the first stage
+	chain  []identifier.Stage
+	// notice is how long the stream had been without an event when it was seen to be stalled.
+	notice time.Duration
+	// startedAt is when the stream's turn began. askedAt is when the ticket was requested that
+	// was used in the end, ticketAt when it was granted, and orderedAt when the first stage
 	// accepted the order.
 	startedAt time.Time
+	askedAt   time.Time
+	ticketAt  time.Time
 	orderedAt time.Time
 	// event gets the time of the next event from the order on.
 	event <-chan time.Time
 }
 
-// awaitTurn waits until the attempt may be moved.
-func (a *attempt) awaitTurn(ctx context.Context) (*turn, error) {
-	last := a.startedAt
+// lastSign returns when the attempt last had an event or, before the first, when it started.
+func (a *attempt) lastSign() time.Time {
 	if latest := a.lastEventAt.Load(); latest != nil {
-		last = *latest
+		return *latest
 	}
+	return a.startedAt
+}
+
+// silentAt returns for how long the attempt had been without an event at t.
+func (a *attempt) silentAt(t time.Time) time.Duration {
+	return max(t.Sub(a.lastSign()), 0)
+}
+
+// awaitTurn waits until the attempt may be moved.
+func (a *attempt) awaitTurn(ctx context.Context) (*turn, error) {
 	job := a.stream.job
 	return a.stream.proxier.turns.wait(ctx, job.Service, mover.Stream{
-		LastEvent:    last,
+		LastEvent:    a.lastSign(),
 		LongestPause: job.Route.Gap,
 		Order:        job.Order,
 	})
@@ -60,9 +80,13 @@
 	x := a.stream.proxier
 	x.turns.readings.Go(func() error {
 		defer m.turn.end()
-		if at, ok := a.nextEvent(ctx, m); ok && at.After(m.orderedAt) {
+		at, ok := a.nextEvent(ctx, m)
+		if ok && at.After(m.orderedAt) {
 			x.turns.observe(a.stream.job.Service, at.Sub(m.startedAt))
 		}
+		if m.chain != nil {
+			a.reportMove(m, at, ok)
+		}
 		return nil
 	})
 }
@@ -85,3 +109,28 @@
 		}
 	}
 }
+
+// reportMove records the steps of a move and logs it. The stream's next event came at next, if
+// resumed is set; otherwise the stream ended without one, or has been moved again.
+func (a *attempt) reportMove(m *move, next time.Time, resumed bool) {
+	x, service := a.stream.proxier, a.stream.job.Service
+	log := x.log(a.stream.job).WithFields(logrus.Fields{
+		"avoided":     formatEndpoints(m.failed),
+		"chain":       formatChain(m.chain),
+		"notice-ms":   m.notice.Milliseconds(),
+		"question-ms": m.cause.question.Milliseconds(),
+		"turn-ms":     m.askedAt.Sub(m.cause.noticedAt.Add(m.cause.question)).Milliseconds(),
+		"ticket-ms":   m.ticketAt.Sub(m.askedAt).Milliseconds(),
+		"order-ms":    m.orderedAt.Sub(m.ticketAt).Milliseconds(),
+	})
+	x.Reporter.RecordMove(service, reporter.MoveNotice, m.notice)
+	x.Reporter.RecordMove(service, reporter.MoveQuestion, m.cause.question)
+	x.Reporter.RecordMove(service, reporter.MoveTicket, m.ticketAt.Sub(m.askedAt))
+	x.Reporter.RecordMove(service, reporter.MoveOrder, m.orderedAt.Sub(m.ticketAt))
+	if resumed {
+		reading := max(next.Sub(m.orderedAt), 0)
+		x.Reporter.RecordMove(service, reporter.MoveReading, reading)
+		log = log.WithField("reading-ms", reading.Milliseconds())
+	}
+	log.Info("stream moved to another chain")
+}
--- a/router/proxier/moves_test.go
+++ b/router/proxier/moves_test.go
@@ -1,15 +1,19 @@
 package proxier_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/core/cataloguer"
@@ -67,6 +71,8 @@
 	mu      sync.Mutex
 	moved   map[identifier.Request]chan struct{}
 	reports int
+	// refusing are the addresses of endpoints that join no chain.
+	refusing []string
 }
 
 func newMovingOrders(f *fixture) *movingOrders {
@@ -83,9 +89,14 @@
 	return o.silentOrders.Report(ctx, address)
 }
 
-func (o *movingOrders) Repath(_ context.Context, id identifier.Request, _ []identifier.Stage) (string, error) {
+func (o *movingOrders) Repath(_ context.Context, id identifier.Request, chain []identifier.Stage) (string, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for _, s := range chain {
+		if slices.Contains(o.refusing, s.Address) {
+			return s.Address, director.ErrStageUnavailable
+		}
+	}
 	if c, ok := o.moved[id]; ok {
 		close(c)
 		delete(o.moved, id)
@@ -354,3 +365,199 @@
 		t.Errorf("got %d runs, want 1", got)
 	}
 }
+
+// lockedBuffer is a buffer for a log that is written and read at the same time.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// movedLine returns the fields of the log line of a moved stream; nil if there is none yet.
+func (b *lockedBuffer) movedLine(t *testing.T) map[string]any {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.buf.String()) {
+		fields := make(map[string]any)
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Fatalf("log line %q: %v", line, err)
+		}
+		if fields["msg"] == "stream moved to another chain" {
+			return fields
+		}
+	}
+	return nil
+}
+
+// TestStepsOfMoveUnknown guards against a pause of a moved stream of which neither the log nor the
+// metrics say which step took how long.
+func TestStepsOfMoveUnknown(t *testing.T) {
+	const reading = 80 * time.Millisecond
+	f := newFixture(cataloguer.AtMostOnce, true)
+	f.route.Gap = 400 * time.Millisecond
+	out := &lockedBuffer{}
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	f.proxier.Log = log
+	orders := newMovingOrders(f)
+	moved := orders.onMove("r")
+	read := make(chan struct{})
+	first := newEndpoint(t, "first", stallUntil(read))
+	dead := newEndpoint(t, "dead", dropConnection)
+	spare := newEndpoint(t, "spare", dropConnection)
+	orders.silent = append(orders.silent, dead.Address)
+	f.proxier.Orderer = orders
+	f.proxier.Tickets = &movingTickets{
+		first: map[string][]identifier.Stage{"r.1": {stage(first, 0, 2), stage(dead, 2, 4)}},
+		moved: map[string][]identifier.Stage{"r.1": {stage(first, 0, 2), stage(spare, 2, 4)}},
+	}
+	f.watch(t)
+	var group errgroup.Group
+	group.Go(func() error {
+		<-moved
+		time.Sleep(reading)
+		close(read)
+		return nil
+	})
+	w, err := f.serveAs("r", &f.route, 5*time.Second)
+	requireEvents(t, ids(w.Body.String()), err, "1 2 3")
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	var line map[string]any
+	for start := time.Now(); line == nil && time.Since(start) < 2*time.Second; {
+		line = out.movedLine(t)
+		time.Sleep(5 * time.Millisecond)
+	}
+	for name, least := range map[string]time.Duration{
+		"notice-ms":   time.Duration(0.30 * float64(f.route.Gap)),
+		"question-ms": 0,
+		"turn-ms":     0,
+		"ticket-ms":   0,
+		"order-ms":    0,
+		"reading-ms":  reading - 5*time.Millisecond,
+	} {
+		got, ok := line[name].(float64)
+		if !ok || got < float64(least.Milliseconds()) {
+			t.Errorf("%s in the log line: got %v, want at least %v", name, line[name], least)
+		}
+	}
+	if got, want := line["avoided"], "dead"; got != want {
+		t.Errorf("avoided: got %v, want %s", got, want)
+	}
+	var metrics strings.Builder
+	f.proxier.Reporter.Write(&metrics)
+	for _, step := range []string{"notice", "question", "ticket", "order", "reading"} {
+		if want := fmt.Sprintf(`heatherhold_move_seconds_count{service="s",step=%q} 1`, step); !strings.Contains(metrics.String(), want) {
+			t.Errorf("the metrics have no %s", want)
+		}
+	}
+}
+
+// TestRefusedMoveLosesTime guards against a stream whose new stage refuses and that waits for the
+// next try of its search although another chain is free. The chains of one turn are limited.
+func TestRefusedMoveLosesTime(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refuse  int
+		want    time.Duration
+		minimum time.Duration
+	}{
+		{name: "one refuses", refuse: 1, want: 400 * time.Millisecond},
+		{name: "two refuse", refuse: 2, want: 400 * time.Millisecond},
+		{name: "three refuse", refuse: 3, want: 2 * time.Second, minimum: 250 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(cataloguer.AtMostOnce, true)
+			f.route.Gap = 400 * time.Millisecond
+			orders := newMovingOrders(f)
+			first := newEndpoint(t, "first", stallUntil(orders.onMove("r")))
+			dead := newEndpoint(t, "dead", dropConnection)
+			orders.silent = append(orders.silent, dead.Address)
+			f.proxier.Orderer = orders
+			f.tickets.chains = [][]identifier.Stage{{stage(first, 0, 2), stage(dead, 2, 4)}}
+			for i := range c.refuse + 1 {
+				spare := newEndpoint(t, fmt.Sprint("spare", i), dropConnection)
+				f.tickets.chains = append(f.tickets.chains, []identifier.Stage{stage(first, 0, 2), stage(spare, 2, 4)})
+				if i < c.refuse {
+					orders.refusing = append(orders.refusing, spare.Address)
+				}
+			}
+			if c.refuse == 3 {
+				// The next turn begins anew: the endpoints refused for want of a place.
+				time.AfterFunc(300*time.Millisecond, func() {
+					orders.mu.Lock()
+					defer orders.mu.Unlock()
+					orders.refusing = nil
+				})
+			}
+			f.watch(t)
+			start := time.Now()
+			w, err := f.serveAs("r", &f.route, 5*time.Second)
+			requireEvents(t, ids(w.Body.String()), err, "1 2 3")
+			if got := time.Since(start); got > c.want || got < c.minimum {
+				t.Errorf("the stream went on after %v, want %v to %v", got, c.minimum, c.want)
+			}
+		})
+	}
+}
+
+// TestResumedStreamMoved guards against moving a stream whose endpoint was only silent and that
+// has made progress before its turn.
+func TestResumedStreamMoved(t *testing.T) {
+	f := newFixture(cataloguer.AtMostOnce, true)
+	f.route.Gap = 400 * time.Millisecond
+	orders := newMovingOrders(f)
+	tickets := &movingTickets{first: make(map[string][]identifier.Stage)}
+	f.proxier.Orderer, f.proxier.Tickets = orders, tickets
+	add := func(id string, serve func(int, io.Writer)) {
+		first := newEndpoint(t, "first-"+id, serve)
+		dead := newEndpoint(t, "dead-"+id, dropConnection)
+		orders.silent = append(orders.silent, dead.Address)
+		tickets.first[id+".1"] = []identifier.Stage{stage(first, 0, 2), stage(dead, 2, 4)}
+	}
+	end := make(chan struct{})
+	for i := range mover.Limit {
+		add(fmt.Sprint("slow", i), stallUntil(end))
+	}
+	add("resumed", func(after int, w io.Writer) {
+		fallSilent(1)(after, w)
+		time.Sleep(250 * time.Millisecond)
+		for i := 2; i <= 6; i++ {
+			writeChunk(w, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
+			time.Sleep(50 * time.Millisecond)
+		}
+		fmt.Fprint(w, "0\r\n\r\n")
+	})
+	f.watch(t)
+	var group errgroup.Group
+	for i := range mover.Limit {
+		group.Go(func() error {
+			_, err := f.serveAs(fmt.Sprint("slow", i), &f.route, 5*time.Second)
+			return err
+		})
+	}
+	for len(tickets.asks()) < mover.Limit {
+		time.Sleep(time.Millisecond)
+	}
+	// Every turn is taken for as long as a ticket is waited for, 400 ms. The stream is stalled
+	// after 180 ms and makes progress after 250 ms.
+	w, err := f.serveAs("resumed", &f.route, 5*time.Second)
+	close(end)
+	requireEvents(t, ids(w.Body.String()), err, "1 2 3 4 5 6")
+	for _, ask := range tickets.asks() {
+		if ask.GetMoves() == "resumed.1" {
+			t.Errorf("got an ask to move the stream, want none: it made progress")
+		}
+	}
+	if err := group.Wait(); err != nil {
+		t.Errorf("a stream that stayed: got error %v, want the whole stream", err)
+	}
+}
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -87,7 +87,9 @@
 	}
 	m := &move{
 		turn:      own,
+		cause:     cause,
 		failed:    a.avoided(),
+		notice:    a.silentAt(cause.noticedAt),
 		startedAt: time.Now(),
 	}
 	switch {
@@ -130,6 +132,7 @@
 // could not join the chain.
 func (a *attempt) tryReroute(ctx context.Context, m *move, avoid []identifier.EndpointIncarnation) (identifier.EndpointIncarnation, error) {
 	x := a.stream.proxier
+	m.askedAt = time.Now()
 	ticket, err := a.stream.acquireListed(ctx, avoid, a.chain(), func() *messenger.Ask {
 		ask := a.stream.newAsk()
 		ask.Resumed = true
@@ -139,6 +142,7 @@
 	if err != nil {
 		return identifier.EndpointIncarnation{}, err
 	}
+	m.ticketAt = time.Now()
 	// The next event may come before the response to the order.
 	m.event = a.expectEvent()
 	address, err := x.Orderer.Repath(ctx, a.stream.job.Request.ID, ticket.Chain)
@@ -147,19 +151,17 @@
 		return stageAt(ticket.Chain, address).EndpointIncarnation, err
 	}
 	m.orderedAt = time.Now()
-	a.replaceTicket(ticket, m.failed)
+	a.replaceTicket(ticket, m)
 	return identifier.EndpointIncarnation{}, nil
 }
 
-// replaceTicket replaces the attempt's ticket, unless the attempt has finished.
-// The chain of the old ticket failed at the endpoint incarnations in failed.
-func (a *attempt) replaceTicket(ticket *acquirer.Ticket, failed []identifier.EndpointIncarnation) {
+// replaceTicket replaces the attempt's ticket after a move, unless the attempt has finished.
+func (a *attempt) replaceTicket(ticket *acquirer.Ticket, m *move) {
 	a.mu.Lock()
 	old := a.ticket
 	finished := a.finished
-	now := time.Now()
 	if !finished {
-		a.movedAt.Store(&now)
+		a.movedAt.Store(&m.orderedAt)
 		a.ticket = ticket
 		a.givenUp = slices.DeleteFunc(a.givenUp, func(i identifier.EndpointIncarnation) bool { return !contains(ticket.Chain, i) })
 	}
@@ -168,9 +170,9 @@
 		ticket.Release(acquirer.Outcome{})
 		return
 	}
+	m.chain = ticket.Chain
 	a.stream.proxier.Reporter.CountReroute(a.stream.job.Service)
-	old.Release(acquirer.Outcome{Failed: firstFailed(old.Chain, failed)})
-	a.stream.proxier.log(a.stream.job).WithField("avoided", formatEndpoints(failed)).WithField("chain", formatChain(ticket.Chain)).Info("stream moved to another chain")
+	old.Release(acquirer.Outcome{Failed: firstFailed(old.Chain, m.failed)})
 }
 
 // firstFailed returns the first endpoint of a chain that is in failed; zero if none is.
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -120,7 +120,8 @@
 		return
 	}
 	results := w.probe(ctx, suspects, before)
-	after := w.proxier.progressByEndpoint(time.Now())
+	answered := time.Now()
+	after := w.proxier.progressByEndpoint(answered)
 	var failures []*stageError
 	for i, s := range suspects {
 		reason := results[i].fault(after[s.EndpointIncarnation])
@@ -131,6 +132,8 @@
 		failures = append(failures, &stageError{
 			incarnation: s.EndpointIncarnation,
 			detail:      reason,
+			noticedAt:   now,
+			question:    answered.Sub(now),
 		})
 	}
 	if len(failures) > 0 {
@@ -138,7 +141,11 @@
 		return
 	}
 	for _, result := range results {
-		w.rerouteStalled(ctx, result.report)
+		w.rerouteStalled(ctx, result.report, &stageError{
+			detail:    "stalls the stream",
+			noticedAt: now,
+			question:  answered.Sub(now),
+		})
 	}
 }
 
@@ -359,8 +366,8 @@
 }
 
 // rerouteStalled reroutes the attempts that an endpoint reports as stalled by
-// another stage.
-func (w *watcher) rerouteStalled(ctx context.Context, report director.Report) {
+// another stage; found is the cause, but for the stage.
+func (w *watcher) rerouteStalled(ctx context.Context, report director.Report, found *stageError) {
 	x := w.proxier
 	for id, address := range report.Stalled {
 		attempts := x.activeAttempts(func(a *attempt) bool { return a.stream.job.Request.ID == id })
@@ -372,10 +379,9 @@
 		for _, a := range attempts {
 			a.giveUp(incarnation)
 		}
-		w.reroute(ctx, attempts, &stageError{
-			incarnation: incarnation,
-			detail:      "stalls the stream",
-		})
+		cause := *found
+		cause.incarnation = incarnation
+		w.reroute(ctx, attempts, &cause)
 	}
 }
 
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -105,6 +105,28 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_moves_total{service=%q}`, s)).Inc()
 }
 
+// MoveStep is a step of the move of a stream to another chain.
+type MoveStep string
+
+// The steps of a move, in their order.
+const (
+	// MoveNotice is the time from the last event until the stream counts as stalled.
+	MoveNotice MoveStep = "notice"
+	// MoveQuestion is the time until the endpoints that may have failed are known to have.
+	MoveQuestion MoveStep = "question"
+	// MoveTicket is the time until there is another chain.
+	MoveTicket MoveStep = "ticket"
+	// MoveOrder is the time until the first stage accepts the order to use it.
+	MoveOrder MoveStep = "order"
+	// MoveReading is the time until the next event: the new stages read the prompt.
+	MoveReading MoveStep = "reading"
+)
+
+// RecordMove records how long a step of the move of a service's stream took.
+func (r *Reporter) RecordMove(s identifier.Service, step MoveStep, d time.Duration) {
+	r.set.GetOrCreateHistogram(fmt.Sprintf(`heatherhold_move_seconds{service=%q,step=%q}`, s, step)).Update(d.Seconds())
+}
+
 // CountOutdatedTicket counts a ticket that was given back because the list of endpoints on which
 // the pool's owner decided was older than the entry's.
 func (r *Reporter) CountOutdatedTicket(s identifier.Service) {
