--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -52,6 +52,8 @@
 	stallAfter atomic.Int64
 	// movedAt is when the first stage last continued over another chain; nil if never.
 	movedAt atomic.Pointer[time.Time]
+	// expected gets the time of the next event; nil if nobody waits for it.
+	expected atomic.Pointer[chan time.Time]
 
 	// pending holds the events without an id since the last event with one.
 	pending []byte
@@ -94,6 +96,10 @@
 type stageError struct {
 	incarnation identifier.EndpointIncarnation
 	detail      string
+	// noticedAt is when streams through the stage were seen to be stalled, and question how
+	// long endpoints were then asked for reports.
+	noticedAt time.Time
+	question  time.Duration
 }
 
 // Error returns the stage and the reason for its failure.
@@ -281,6 +287,7 @@
 			return s.writeEvents(out, a.pending)
 		}
 		if err == nil {
+			a.reportEvent(time.Now())
 			a.stopSearching()
 			err = a.bufferEvent(e)
 		}
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -51,8 +51,9 @@
 	for {
 		select {
 		case <-ctx.Done():
-			// The searches end with ctx and return no error.
+			// The searches and the moves end with ctx and return no error.
 			_ = w.searches.Wait()
+			_ = x.turns.readings.Wait()
 			return nil
 		case now := <-t.C:
 			w.check(ctx, now)
@@ -119,7 +120,8 @@
 		return
 	}
 	results := w.probe(ctx, suspects, before)
-	after := w.proxier.progressByEndpoint(time.Now())
+	answered := time.Now()
+	after := w.proxier.progressByEndpoint(answered)
 	var failures []*stageError
 	for i, s := range suspects {
 		reason := results[i].fault(after[s.EndpointIncarnation])
@@ -130,6 +132,8 @@
 		failures = append(failures, &stageError{
 			incarnation: s.EndpointIncarnation,
 			detail:      reason,
+			noticedAt:   now,
+			question:    answered.Sub(now),
 		})
 	}
 	if len(failures) > 0 {
@@ -137,7 +141,11 @@
 		return
 	}
 	for _, result := range results {
-		w.rerouteStalled(ctx, result.report)
+		w.rerouteStalled(ctx, result.report, &stageError{
+			detail:    "stalls the stream",
+			noticedAt: now,
+			question:  answered.Sub(now),
+		})
 	}
 }
 
@@ -170,8 +178,13 @@
 	err    error
 }
 
-// reasonUnresponsive is the reason of an endpoint that did not respond to a probe.
-const reasonUnresponsive = "does not respond"
+// The reasons why an endpoint is considered failed.
+const (
+	// reasonUnresponsive is that of an endpoint that did not respond to a probe.
+	reasonUnresponsive = "does not respond"
+	// reasonSlow is that of an endpoint that reports that it is slow.
+	reasonSlow = "is slow"
+)
 
 // fault returns the reason why an endpoint is considered failed, or an empty
 // string if it is not. An endpoint that does not respond is not considered failed
@@ -181,7 +194,7 @@
 	case r.err != nil && p != nil && p.stalled > 0 && p.progressing == 0:
 		return reasonUnresponsive
 	case r.err == nil && r.report.Slowdown >= slowdownThreshold && p.suspected():
-		return "is slow"
+		return reasonSlow
 	}
 	return ""
 }
@@ -353,8 +366,8 @@
 }
 
 // rerouteStalled reroutes the attempts that an endpoint reports as stalled by
-// another stage.
-func (w *watcher) rerouteStalled(ctx context.Context, report director.Report) {
+// another stage; found is the cause, but for the stage.
+func (w *watcher) rerouteStalled(ctx context.Context, report director.Report, found *stageError) {
 	x := w.proxier
 	for id, address := range report.Stalled {
 		attempts := x.activeAttempts(func(a *attempt) bool { return a.stream.job.Request.ID == id })
@@ -366,10 +379,9 @@
 		for _, a := range attempts {
 			a.giveUp(incarnation)
 		}
-		w.reroute(ctx, attempts, &stageError{
-			incarnation: incarnation,
-			detail:      "stalls the stream",
-		})
+		cause := *found
+		cause.incarnation = incarnation
+		w.reroute(ctx, attempts, &cause)
 	}
 }
 
@@ -383,9 +395,7 @@
 		}
 		w.searches.Go(func() error {
 			defer a.searching.Store(false)
-			if err := a.moveAround(ctx); err != nil {
-				a.handOver(ctx, cause)
-			}
+			a.leave(ctx, cause)
 			return nil
 		})
 	}
