Report which requests are served late, refused or failed

Cause: metrics and logs showed outcomes by service and order only. Which route, customer or size of request is affected under load could not be told, and refusals had neither route nor customer.

Change: heatherhold_losses_total{service,order,route,size,outcome}; the last line of each request states its outcome, and all of its lines have customer, route, order and size. No line is added. At most 64 routes have a label.

A plain answer is logged after it was passed on: a caller that closed its connection meanwhile had a "request served" and a "caller went away". A route without a target or longest pause no longer makes each stream late.

Ruled out: labels for the first 64 routes of the configuration by name, which would spend labels on routes without losses and leave series behind when routes are renamed (docs/design/losses.md).

Tests (-race): reporter, proxier, receiver, limiter and TestOperationsPage pass. TestFaultyStreams (own interface, not changed here) failed in the only whole run of ./router, at a load over 20, with a 503 stale-configuration; not traced.

--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -17,6 +17,7 @@
 	"heatherhold.dev/router/balancer"
 	"heatherhold.dev/router/exchanger"
 	"heatherhold.dev/router/quarantiner"
+	"heatherhold.dev/router/reporter"
 )
 
 // plainRequest is one request to a plain service.
@@ -88,8 +89,7 @@
 		done := r.await()
 		if done.err == nil {
 			r.cancel()
-			p.logServed(done.endpoint, done.response)
-			return p.write(done.response)
+			return p.serve(done)
 		}
 		if r.running > 0 {
 			p.logFailure(done, false)
@@ -97,41 +97,71 @@
 			continue
 		}
 		retry := ctx.Err() == nil && p.mayRetry(done.err) && p.proxier.spendRetry(p.job.Service)
+		if !retry && done.response != nil && errors.Is(done.err, errFailed) {
+			return p.serveFailure(done)
+		}
 		p.logFailure(done, retry)
 		if retry {
 			done.response.release()
 			continue
 		}
-		if done.response != nil && errors.Is(done.err, errFailed) {
-			return p.write(done.response)
-		}
 		return finalError(ctx, p.ran, done.err)
 	}
 }
 
 // logFailure logs a run that brought no answer that is passed on.
 func (p *plainRequest) logFailure(r *plainRun, retry bool) {
-	p.proxier.log(p.job).WithError(r.err).WithFields(logrus.Fields{
+	p.failure(r, retry).Warn("attempt failed")
+}
+
+// failure returns a logger with the fields of a run that failed.
+func (p *plainRequest) failure(r *plainRun, retry bool) *logrus.Entry {
+	return p.proxier.log(p.job).WithError(r.err).WithFields(logrus.Fields{
 		"endpoint":    r.endpoint.Endpoint,
 		"runs":        p.runs,
 		"left-ms":     time.Until(p.job.Deadline).Milliseconds(),
 		"again":       retry,
 		"retries":     p.proxier.budget(time.Now(), p.job.Service).Remaining(),
 		"fingerprint": p.keys[0].Name,
-	}).Warn("attempt failed")
+	})
 }
 
-// logServed logs a response that is passed on.
-func (p *plainRequest) logServed(e cataloguer.Endpoint, response *completeResponse) {
+// serve passes the answer of a run on and logs it. If the caller does not receive it, the
+// receiver logs the end of the request.
+func (p *plainRequest) serve(r *plainRun) error {
 	elapsed := time.Since(p.job.Request.Received)
-	log := p.proxier.log(p.job).WithFields(logrus.Fields{
-		"endpoint": e.Endpoint,
-		"status":   response.status,
+	if err := p.write(r.response); err != nil {
+		return err
+	}
+	p.logServed(r, elapsed)
+	return nil
+}
+
+// serveFailure passes the response of an endpoint that ran the request and failed on. The line
+// of the attempt is then the last one of the request.
+func (p *plainRequest) serveFailure(r *plainRun) error {
+	if err := p.write(r.response); err != nil {
+		p.logFailure(r, false)
+		return err
+	}
+	p.failure(r, false).WithFields(p.proxier.recordEnd(&p.job, reporter.Failed)).Warn("attempt failed")
+	return nil
+}
+
+// logServed logs a response that was passed on elapsed after the request was received.
+func (p *plainRequest) logServed(r *plainRun, elapsed time.Duration) {
+	outcome, target := reporter.OnTime, p.job.Route.Target
+	if elapsed > target && target > 0 {
+		outcome = reporter.LateStart
+	}
+	log := p.proxier.log(p.job).WithFields(p.proxier.recordEnd(&p.job, outcome)).WithFields(logrus.Fields{
+		"endpoint": r.endpoint.Endpoint,
+		"status":   r.response.status,
 		"tries":    len(p.avoid),
 		"taken-ms": elapsed.Milliseconds(),
 	})
 	p.proxier.Reporter.RecordResponse(p.job.Service, elapsed)
-	if target := p.job.Route.Target; elapsed > target && target > 0 {
+	if outcome != reporter.OnTime {
 		p.late = true
 		log.WithField("target-ms", target.Milliseconds()).Warn("request served late")
 		return
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -115,7 +115,7 @@
 		}
 		s.lastEvent.Store(j.Request.LastEvent)
 		err = s.run(ctx)
-		x.countOutcome(j, err, s.late())
+		x.countOutcome(j, err, s.outcome() != reporter.OnTime)
 		return s.started, err
 	}
 	p := &plainRequest{
@@ -197,12 +197,8 @@
 
 // log returns a logger that adds the job's identifying fields to each line.
 func (x *Proxier) log(j Job) *logrus.Entry {
-	return x.Log.WithFields(logrus.Fields{
+	return x.Log.WithFields(j.LogFields()).WithFields(logrus.Fields{
 		"request":  j.Request.ID,
-		"route":    j.Route.Name,
-		"service":  j.Service,
-		"customer": j.Customer,
-		"order":    j.Order,
 		"revision": j.Revision,
 	})
 }
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -106,12 +106,6 @@
 	}
 }
 
-// late reports whether the caller waited too long for the first event or for a
-// later one.
-func (s *stream) late() bool {
-	return s.timing.firstEvent > s.job.Route.Target || s.timing.longestPause > s.job.Route.Gap
-}
-
 // logFailure logs an attempt that did not deliver the complete response.
 func (s *stream) logFailure(err error, retry bool) {
 	s.proxier.log(s.job).WithError(err).WithFields(logrus.Fields{
--- a/router/proxier/timing.go
+++ b/router/proxier/timing.go
@@ -48,7 +48,9 @@
 		FirstEvent:   s.timing.firstEvent,
 		LongestPause: s.timing.longestPause,
 	})
-	if !s.late() {
+	outcome := s.outcome()
+	log = log.WithFields(s.proxier.recordEnd(&s.job, outcome))
+	if outcome == reporter.OnTime {
 		log.Info("request served")
 		return
 	}
--- a/router/receiver/active.go
+++ b/router/receiver/active.go
@@ -17,6 +17,18 @@
 	job *proxier.Job
 }
 
+// jobOrUnrouted returns the job, or one without a route if none is known. Only the
+// goroutine that serves r may call it.
+func (r *activeRequest) jobOrUnrouted() *proxier.Job {
+	if r.job != nil {
+		return r.job
+	}
+	return &proxier.Job{
+		Request: r.request,
+		Order:   proxier.NoOrder,
+	}
+}
+
 // activeRequests is the set of requests that are being served. The zero value is empty.
 type activeRequests struct {
 	mu  sync.Mutex
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -21,6 +21,7 @@
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/proxier"
 	"heatherhold.dev/router/publisher"
+	"heatherhold.dev/router/reporter"
 )
 
 // Codec parses the headers of callers' requests.
@@ -38,7 +39,10 @@
 	// OnRefusal, if set, is called for each request that gets an error response
 	// from the router itself.
 	OnRefusal func(classifier.Kind)
-	Log       logrus.FieldLogger
+	// OnEnd, if set, is called for each request that ends without a complete response
+	// of an endpoint.
+	OnEnd func(reporter.End)
+	Log   logrus.FieldLogger
 
 	active    activeRequests
 	durations durations
@@ -141,11 +145,11 @@
 	defer x.active.remove(active)
 	setBodyDeadline(w, r, request.Received.Add(callerTimeout(request)))
 	if err != nil {
-		x.refuse(w, v, request, classifier.New(classifier.BadRequest, err.Error()))
+		x.refuse(w, v, active, classifier.New(classifier.BadRequest, err.Error()))
 		return
 	}
 	if x.closed.Load() {
-		x.refuse(w, v, request, classifier.NewStopping(nil))
+		x.refuse(w, v, active, classifier.NewStopping(nil))
 		return
 	}
 	err = x.serve(ctx, w, r, v, active)
@@ -153,17 +157,17 @@
 		return
 	}
 	if errors.Is(r.Context().Err(), context.Canceled) && !readEnded(ctx, err) {
-		x.log(v, request, err).Info("caller went away")
+		x.ended(v, active, err, reporter.Cancelled).Info("caller went away")
 		panic(http.ErrAbortHandler)
 	}
 	if w.sent {
 		// A part of the response was sent: only aborting the connection shows the
 		// caller that the response is incomplete.
-		x.log(v, request, err).Warn("answer broken off")
+		x.ended(v, active, err, reporter.Failed).Warn("answer broken off")
 		panic(http.ErrAbortHandler)
 	}
 	w.reset()
-	x.refuse(w, v, request, err)
+	x.refuse(w, v, active, err)
 }
 
 // readEnded reports whether the router itself ended the reading of the request, which cancels
@@ -173,16 +177,21 @@
 	return classifier.Classify(err).Kind == classifier.TooSlow || errors.Is(context.Cause(ctx), classifier.ErrStopping)
 }
 
-// log returns a log entry for a request that ended with err; v is the view that
-// the decision was based on.
-func (x *Receiver) log(v *publisher.View, request *courier.Request, err error) *logrus.Entry {
+// ended returns a log entry for a request that ended with err and the given outcome, and reports
+// its end to OnEnd; v is the view that the decision was based on.
+func (x *Receiver) ended(v *publisher.View, active *activeRequest, err error, outcome reporter.Outcome) *logrus.Entry {
 	e := classifier.Classify(err)
-	return x.Log.WithError(err).WithFields(logrus.Fields{
-		"request":  request.ID,
+	job := active.jobOrUnrouted()
+	if x.OnEnd != nil {
+		x.OnEnd(job.End(outcome))
+	}
+	return x.Log.WithError(err).WithFields(job.LogFields()).WithFields(logrus.Fields{
+		"request":  active.request.ID,
+		"outcome":  outcome,
 		"kind":     e.Kind,
 		"status":   classifier.ResponseOf(e.Kind).Status,
 		"revision": v.Revision,
-		"held-ms":  time.Since(request.Received).Milliseconds(),
+		"held-ms":  time.Since(active.request.Received).Milliseconds(),
 	})
 }
 
@@ -199,13 +208,15 @@
 		return err
 	}
 	job, err := x.newJob(v, r, request)
+	if job.Route != nil {
+		x.active.setJob(active, &job)
+	}
 	if err != nil {
 		return err
 	}
 	if err := x.checkTimeLeft(&job); err != nil {
 		return err
 	}
-	x.active.setJob(active, &job)
 	setBodyDeadline(w, r, job.Deadline)
 	if request.Body, err = readBodyUntil(ctx, w, r, v.Site.Limits.BodyBytes); err != nil {
 		return err
@@ -243,7 +254,8 @@
 	return nil
 }
 
-// newJob returns the job for a request, with what v declares for it.
+// newJob returns the job for a request, with what v declares for it. With an error, the job
+// holds what was known by then; its route is nil if none matches.
 func (x *Receiver) newJob(v *publisher.View, r *http.Request, request *courier.Request) (proxier.Job, error) {
 	route, ok := v.Site.Route(r.Host, r.URL.EscapedPath())
 	if !ok {
@@ -260,7 +272,7 @@
 	if !route.Public && v.Site.HasCustomers() {
 		customer, ok := v.Site.Customer(request.Key)
 		if !ok {
-			return proxier.Job{}, classifier.New(classifier.Unauthenticated, "unknown API key")
+			return job, classifier.New(classifier.Unauthenticated, "unknown API key")
 		}
 		job.Customer = customer.Name
 		if customer.HasOrder {
@@ -270,7 +282,7 @@
 	job.Rank = v.Rank(proxier.RankOf(job.Order))
 	service, ok := v.Site.Services[job.Service]
 	if !ok {
-		return proxier.Job{}, classifier.New(classifier.NoChain, "the service is not declared")
+		return job, classifier.New(classifier.NoChain, "the service is not declared")
 	}
 	job.Engine = service.Engine
 	return job, nil
@@ -306,9 +318,9 @@
 
 // refuse sends the error response for a request; no part of a response may have
 // been sent yet.
-func (x *Receiver) refuse(w http.ResponseWriter, v *publisher.View, request *courier.Request, err error) {
-	x.log(v, request, err).Warn("request not served")
+func (x *Receiver) refuse(w http.ResponseWriter, v *publisher.View, active *activeRequest, err error) {
 	e := classifier.Classify(err)
+	x.ended(v, active, err, reporter.OutcomeOf(e.Kind)).Warn("request not served")
 	if x.OnRefusal != nil {
 		x.OnRefusal(e.Kind)
 	}
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -26,6 +26,7 @@
 
 	set        *metrics.Set
 	propagator propagation.TraceContext
+	routes     routeLabels
 }
 
 // New returns a reporter whose spans go to tracer.
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -195,6 +195,7 @@
 		Proxier:   proxy,
 		Codec:     translator.Codec{},
 		OnRefusal: p.CountResponse,
+		OnEnd:     p.CountEnd,
 		Log:       log,
 	}
 }
