Add operator losses: which callers were affected, from the logs

Cause: to tell which customers, routes or sizes were late or refused, an operator had to count log lines by hand, across instances.

Change: "operator losses LOG..." counts requests by how they ended, grouped by customer, route, order, size or error kind, the largest losses first. The reading of logs moves from operator/explainer to operator/reader, which both commands use; a line over 1 MiB is skipped and counted instead of ending the reading with an error. Lines that could not be read, that instances dropped, or that state no outcome (an older build) are reported on standard error.

The examples of docs/OPERATIONS.md whose files are in operator/testdata are run by a test, among them a refused request explained from its id.

Ruled out: guessing the outcome of an older build's lines from their other fields.

--- a/operator/explainer/explainer.go
+++ b/operator/explainer/explainer.go
@@ -5,24 +5,19 @@
 package explainer
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
 	"io"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"heatherhold.dev/operator/reader"
 )
 
 // Line is one log line.
 type Line struct {
-	Time     time.Time      `json:"time"`
-	Instance string         `json:"instance"`
-	Level    string         `json:"level"`
-	Event    string         `json:"event"`
-	Fields   map[string]any `json:"fields,omitempty"`
+	reader.Line
 	// Related is set for a line that does not name the request but is about an
 	// endpoint that it used or an instance that served it.
 	Related bool `json:"aside,omitempty"`
@@ -41,13 +36,9 @@
 // ErrNotFound is returned if no line names the request.
 var ErrNotFound = errors.New("no log line names the request")
 
-const (
-	// lineLimit is the largest length of a log line, in bytes.
-	lineLimit = 1 << 20
-	// contextWindow is how long before and after the request's lines the lines
-	// about its endpoints and instances are included.
-	contextWindow = time.Second
-)
+// contextWindow is how long before and after the request's lines the lines about its
+// endpoints and instances are included.
+const contextWindow = time.Second
 
 // finalEvents are the events that end a request from the caller's point of view.
 var finalEvents = []string{
@@ -63,17 +54,18 @@
 	report := Report{Request: request}
 	var all []Line
 	for _, r := range logs {
-		lines, skipped, err := readLines(r)
+		skipped, err := reader.Each(r, func(l reader.Line) {
+			all = append(all, Line{Line: l})
+		})
 		if err != nil {
 			return Report{}, err
 		}
-		all = append(all, lines...)
 		report.Skipped += skipped
 	}
 	slices.SortStableFunc(all, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	var own []Line
 	for _, l := range all {
-		if l.textField("request") == request {
+		if l.Text("request") == request {
 			own = append(own, l)
 		}
 	}
@@ -89,57 +81,6 @@
 	return report, nil
 }
 
-// readLines returns the log lines of r and the number of lines that it skipped.
-// Text before a line's first brace, such as a log collector's prefix, is ignored.
-func readLines(r io.Reader) ([]Line, int, error) {
-	var lines []Line
-	skipped := 0
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, lineLimit)
-	for scanner.Scan() {
-		text := scanner.Bytes()
-		start := bytes.IndexByte(text, '{')
-		if start < 0 {
-			skipped++
-			continue
-		}
-		l, ok := parseLine(text[start:])
-		if !ok {
-			skipped++
-			continue
-		}
-		lines = append(lines, l)
-	}
-	return lines, skipped, errors.Wrap(scanner.Err(), "read the log")
-}
-
-// parseLine parses one line in the router's JSON log format.
-func parseLine(text []byte) (Line, bool) {
-	fields := make(map[string]any)
-	if json.Unmarshal(text, &fields) != nil {
-		return Line{}, false
-	}
-	l := Line{Fields: fields}
-	timestamp, err := time.Parse(time.RFC3339Nano, l.textField("time"))
-	if err != nil {
-		return Line{}, false
-	}
-	l.Time = timestamp
-	l.Instance = l.textField("instance")
-	l.Level = l.textField("level")
-	l.Event = l.textField("msg")
-	for _, name := range []string{"time", "instance", "level", "msg"} {
-		delete(fields, name)
-	}
-	return l, l.Event != ""
-}
-
-// textField returns the value of a text field; empty if there is no such field.
-func (l *Line) textField(field string) string {
-	s, _ := l.Fields[field].(string)
-	return s
-}
-
 // withRelated returns the request's own lines together with the lines of the same
 // time about its instances and endpoints.
 func withRelated(all, own []Line, request string) []Line {
@@ -148,9 +89,9 @@
 	var out []Line
 	for _, l := range all {
 		switch {
-		case l.textField("request") == request:
+		case l.Text("request") == request:
 			out = append(out, l)
-		case l.textField("request") != "" || l.Time.Before(from) || l.Time.After(to):
+		case l.Text("request") != "" || l.Time.Before(from) || l.Time.After(to):
 		case isRelated(l, own):
 			l.Related = true
 			out = append(out, l)
@@ -166,7 +107,7 @@
 	const msField = "held-ms"
 	longest := time.Duration(0)
 	for _, l := range own {
-		if ms, ok := l.Fields[msField].(float64); ok {
+		if ms, ok := l.Number(msField); ok {
 			longest = max(longest, time.Duration(ms)*time.Millisecond)
 		}
 	}
@@ -177,10 +118,10 @@
 // that the request used, or, if it names no endpoint, comes from an instance that
 // served the request.
 func isRelated(l Line, own []Line) bool {
-	endpoint := l.textField("endpoint")
+	endpoint := l.Text("endpoint")
 	for _, o := range own {
 		if endpoint != "" {
-			if endpoint == o.textField("endpoint") || endpoint == o.textField("avoided") || strings.Contains(o.textField("chain"), endpoint+":") || strings.Contains(o.textField("error"), endpoint) {
+			if endpoint == o.Text("endpoint") || endpoint == o.Text("avoided") || strings.Contains(o.Text("chain"), endpoint+":") || strings.Contains(o.Text("error"), endpoint) {
 				return true
 			}
 			continue
--- a/operator/main.go
+++ b/operator/main.go
@@ -113,6 +113,7 @@
 		t.drainCommand(),
 		t.quarantineCommand(),
 		t.explainCommand(),
+		t.lossesCommand(),
 		hashCommand(),
 	)
 	return root
