Leave most retries of model requests to the pool's owner

The owner now keeps three fifths, the instances one fifth; one fifth is left for two owners in one window.

--- a/router/proxier/retries.go
+++ b/router/proxier/retries.go
@@ -18,8 +18,8 @@
 	Burst float64
 	// Window is the period to which Burst applies; with 0 the burst is allowed once.
 	Window time.Duration
-	// OwnerShare is the share of Ratio and Burst for retries of model requests that the
-	// pool's owner keeps for all instances, 0 to 1. An instance that has none left itself
+	// OwnerShare is the share of Ratio and Burst that instances do not spend on retries of
+	// model requests, 0 to 1, since the pool's owner keeps retries for all of them. An instance that has none left itself
 	// asks there: a stage that fails takes many streams of some instances at once, and none
 	// of others.
 	OwnerShare float64
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -158,7 +158,7 @@
 			Ratio:      s.Store.RetryRatio * usedRetryShare,
 			Burst:      s.Store.RetryBurst * usedRetryShare,
 			Window:     s.Store.RetryWindow.Std(),
-			OwnerShare: ownerRetryShare,
+			OwnerShare: 1 - entryRetryShare/usedRetryShare,
 		},
 		MaxBufferedBytes: int64(bufferedResponseShare * float64(s.Store.MemoryMB<<20)),
 		Log:              log,
@@ -192,9 +192,11 @@
 	// usedRetryShare is the share of the allowed retries that all instances together
 	// use.
 	usedRetryShare = 0.6
-	// ownerRetryShare is the share of the retries of model requests that a pool's owner keeps
-	// for all instances. While an owner changes, two of them may spend theirs.
-	ownerRetryShare = 0.5
+	// ownerRetryShare is the share of the allowed retries of model requests that a pool's owner
+	// keeps for all instances, and entryRetryShare the share that these keep themselves. They
+	// add up to less than 1 since two owners may spend their shares while the owner changes.
+	ownerRetryShare = 0.6
+	entryRetryShare = 0.2
 	// bufferedResponseShare is the share of the instance's memory that may hold
 	// responses of plain services before they are forwarded.
 	bufferedResponseShare = 0.25
@@ -316,8 +318,8 @@
 		RetainAfterOutage: s.Store.RetainAfterOutage.Std(),
 	}
 	g.Retries = budgeter.Limits{
-		Ratio:  s.Store.RetryRatio * usedRetryShare * ownerRetryShare,
-		Burst:  s.Store.RetryBurst * usedRetryShare * ownerRetryShare,
+		Ratio:  s.Store.RetryRatio * ownerRetryShare,
+		Burst:  s.Store.RetryBurst * ownerRetryShare,
 		Window: s.Store.RetryWindow.Std(),
 	}
 	g.OnRetry = p.CountSharedRetry
