--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -37,7 +37,7 @@
 // memory without a limit, only if the engine does not declare the figures: an endpoint
 // without room has memory for a token, and so for no request.
 func memoryTokens(e *cataloguer.Engine, endpoint *cataloguer.Endpoint) identifier.Tokens {
-	n := identifier.Tokens(memoryOvercommit * e.ContextCapacity(endpoint.Accelerator, endpoint.To-endpoint.From))
+	n := identifier.Tokens(memoryShare * e.ContextCapacity(endpoint.Accelerator, endpoint.To-endpoint.From))
 	if e.Layers > 0 && e.ContextBytes > 0 && len(e.Accelerators) > 0 {
 		return max(n, 1)
 	}
@@ -55,9 +55,10 @@
 	return r
 }
 
-// memoryOvercommit is the ratio of the memory that is given out to requests to the
-// memory that is available: few requests have their maximum length at the same time.
-const memoryOvercommit = 1.1
+// memoryShare is the share of the available memory that is given out to requests, each with
+// its mean use. The rest is for responses that become longer than predicted: an endpoint
+// whose memory runs out preempts the newest request, which has to be read again.
+const memoryShare = 0.97
 
 // Slots returns how many requests of the usual size fit at once into the memory of
 // an accelerator that holds n layers, but at most the engine's number of slots.
