Let operator check find all faults, and what can never match

Cause: "operator check" named only the first fault for which a router refuses declarations. Entries without effect and limits that contradict each other were found only in use.

Exit codes: 0 no findings, 1 findings, 2 files or version not readable; before, faults had 2.

Ruled out: refusing findings in "apply", and counting differences as findings (docs/design/losses.md).

TestBadInput required exit code 2 of a check that finds a fault, which is now 1. It requires 1, the same file, line and key, and also 2 of "diff" and "apply" with that file and of a check of a file that is missing.

--- a/core/declarer/document.go
+++ b/core/declarer/document.go
@@ -155,7 +155,7 @@
 	return nil
 }
 
-func locate(f fault, p parsedFile, parsed []parsedFile) error {
+func locate(f fault, p parsedFile, parsed []parsedFile) *decoder.Error {
 	for _, candidate := range append([]parsedFile{p}, parsed...) {
 		if candidate.site != p.site && candidate.site != "" {
 			continue
@@ -174,7 +174,7 @@
 	return errorAt(f, p, 1)
 }
 
-func errorAt(f fault, p parsedFile, line int) error {
+func errorAt(f fault, p parsedFile, line int) *decoder.Error {
 	return &decoder.Error{
 		File:   p.file.Name,
 		Line:   line,
--- a/core/decoder/decoder.go
+++ b/core/decoder/decoder.go
@@ -32,6 +32,15 @@
 // Strict decodes data into v, which must be a pointer, and refuses keys that v
 // does not define. Errors report file as the file name.
 func Strict(file string, data []byte, v any) error {
+	err := decodeStrict(data, v)
+	if err == nil {
+		return nil
+	}
+	return locate(file, data, v, err)[0]
+}
+
+// Faults decodes like Strict and returns every unknown key, or else the first other fault.
+func Faults(file string, data []byte, v any) []*Error {
 	err := decodeStrict(data, v)
 	if err == nil {
 		return nil
@@ -45,22 +54,27 @@
 	return d.Decode(v)
 }
 
-func locate(file string, data []byte, v any, err error) error {
+// locate returns at least one fault for an error of decodeStrict.
+func locate(file string, data []byte, v any, err error) []*Error {
 	var strictErr *toml.StrictMissingError
 	if stderrors.As(err, &strictErr) && len(strictErr.Errors) > 0 {
-		return errorAt(file, &strictErr.Errors[0], "unknown key")
+		faults := make([]*Error, 0, len(strictErr.Errors))
+		for i := range strictErr.Errors {
+			faults = append(faults, errorAt(file, &strictErr.Errors[i], "unknown key"))
+		}
+		return faults
 	}
 	var decodeErr *toml.DecodeError
 	if stderrors.As(err, &decodeErr) {
-		return errorAt(file, decodeErr, strings.TrimPrefix(decodeErr.Error(), "toml: "))
+		return []*Error{errorAt(file, decodeErr, strings.TrimPrefix(decodeErr.Error(), "toml: "))}
 	}
-	return searchLine(file, data, v, err)
+	return []*Error{searchLine(file, data, v, err)}
 }
 
 // searchLine locates an error that has no position: it decodes the start of the
 // file up to and including each key's line, and returns the first line at which
 // the same error occurs.
-func searchLine(file string, data []byte, v any, err error) error {
+func searchLine(file string, data []byte, v any, err error) *Error {
 	result := &Error{
 		File:   file,
 		Line:   1,
@@ -83,7 +97,7 @@
 	return result
 }
 
-func errorAt(file string, err *toml.DecodeError, detail string) error {
+func errorAt(file string, err *toml.DecodeError, detail string) *Error {
 	line, _ := err.Position()
 	return &Error{
 		File:   file,
--- a/operator/declarations.go
+++ b/operator/declarations.go
@@ -23,8 +23,8 @@
 
 const filesUsage = " BASE.toml [SITE.toml ...]"
 
-// parseFiles reads and checks declarations; errors in them name file, line and key.
-func parseFiles(paths []string) (declarer.Document, error) {
+// readFiles reads declaration files.
+func readFiles(paths []string) ([]declarer.File, error) {
 	var files []declarer.File
 	for _, p := range paths {
 		data, err := os.ReadFile(p)
@@ -39,6 +39,15 @@
 			Data: data,
 		})
 	}
+	return files, nil
+}
+
+// parseFiles reads and checks declarations; errors in them name file, line and key.
+func parseFiles(paths []string) (declarer.Document, error) {
+	files, err := readFiles(paths)
+	if err != nil {
+		return nil, err
+	}
 	doc, err := declarer.Parse(files)
 	if err != nil {
 		return nil, &exitError{
@@ -49,21 +58,6 @@
 	return doc, nil
 }
 
-func (t *tool) checkCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:   "check" + filesUsage,
-		Short: "Check declarations without a router",
-		Args:  cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, paths []string) error {
-			doc, err := parseFiles(paths)
-			if err != nil {
-				return err
-			}
-			return printer.Checked(c.OutOrStdout(), t.output, len(doc))
-		},
-	}
-}
-
 // difference is the change that turns the latest declarations, at revision base,
 // into those of the files.
 type difference struct {
@@ -77,7 +71,12 @@
 	if err != nil {
 		return difference{}, err
 	}
-	latest, err := t.client.Configuration(ctx)
+	return compare(ctx, &t.client, doc)
+}
+
+// compare returns the difference between the declarations in force at a router and doc.
+func compare(ctx context.Context, client *requester.Client, doc declarer.Document) (difference, error) {
+	latest, err := client.Configuration(ctx)
 	if err != nil {
 		return difference{}, err
 	}
--- a/operator/page_test.go
+++ b/operator/page_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -111,7 +113,7 @@
 			t.Errorf("operator %s: got\n%s\nwant\n%s", strings.Join(e.args, " "), got, e.want)
 		}
 	}
-	for _, verb := range []string{"losses", "explain"} {
+	for _, verb := range []string{"losses", "explain", "check"} {
 		if !verbs[verb] {
 			t.Errorf("the page has no example of %q with files of %s", verb, examplesDir)
 		}
@@ -137,3 +139,66 @@
 		}
 	}
 }
+
+// sound is a declaration without findings, and inForce the answer of a router that has another
+// limit in force.
+const (
+	sound = `[rank.urgent]
+order = 0
+first-token = "430ms"
+between-tokens = "27ms"
+queue-limit = 200
+max-wait = "430ms"
+
+[customer.council]
+tier = "paying"
+weight = 1.0
+
+[customer.council.caller.desk]
+key-sha256 = "0000000000000000000000000000000000000000000000000000000000000001"
+rank = "urgent"
+`
+	inForce = `{"revision":17,"entries":{"base/rank/urgent":"queue-limit = 100\n"}}`
+)
+
+// TestCheckCommand guards against a check that reports faults with the exit code of sound files,
+// or a difference from the version in force as a fault.
+func TestCheckCommand(t *testing.T) {
+	operator := buildOperator(t)
+	router := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, inForce)
+	}))
+	defer router.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	path := filepath.Join(t.TempDir(), "sound.toml")
+	if err := os.WriteFile(path, []byte(sound), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name string
+		args []string
+		code int
+		want []string
+	}{
+		{name: "sound", args: []string{path}, want: []string{"no findings: 2 sections"}},
+		{name: "sound, as JSON", args: []string{"--output", "json", path}, want: []string{`"findings": []`, `"sections": 2`}},
+		{name: "findings, as JSON", args: []string{"--output", "json", "base.toml"}, code: 1, want: []string{`"line": 7`, `"key": "rank.urgent.max-wait"`}},
+		{name: "differences", args: []string{"--against", router.URL, path}, want: []string{"- queue-limit = 100", "+ queue-limit = 200", "2 sections differ from revision 17"}},
+		{name: "differences, as JSON", args: []string{"--output", "json", "--against", router.URL, path}, want: []string{`"against": {`, `"base": 17`}},
+		{name: "findings and differences", args: []string{"--against", router.URL, "base.toml"}, code: 1, want: []string{"base.toml:7: rank.urgent.max-wait", "differ from revision 17"}},
+		{name: "no such file", args: []string{"no-such.toml"}, code: 2, want: []string{"no-such.toml"}},
+		{name: "no router", args: []string{"--against", gone.URL, path}, code: 2, want: []string{"no findings", "compare with the version in force"}},
+		{name: "not TOML", args: []string{"front-1.log"}, code: 1, want: []string{"front-1.log:1: "}},
+	} {
+		out, code := runExample(t.Context(), t, operator, append([]string{"check"}, c.args...)...)
+		if code != c.code {
+			t.Errorf("%s: got exit code %d, want %d", c.name, code, c.code)
+		}
+		for _, want := range c.want {
+			if !strings.Contains(out, want) {
+				t.Errorf("%s: got %s, want %s in it", c.name, out, want)
+			}
+		}
+	}
+}
--- a/operator/printer/printer.go
+++ b/operator/printer/printer.go
@@ -25,15 +25,6 @@
 	return e.Encode(v)
 }
 
-// Checked prints that declarations are valid, and how many sections they have.
-func Checked(w io.Writer, output string, sections int) error {
-	if output == JSON {
-		return writeJSON(w, map[string]int{"sections": sections})
-	}
-	_, err := fmt.Fprintf(w, "valid: %d sections\n", sections)
-	return err
-}
-
 // Unchanged prints that there are no changes to apply.
 func Unchanged(w io.Writer, output string, revision uint64) error {
 	if output == JSON {
@@ -55,29 +46,43 @@
 
 // Difference prints the old and new contents of each section that a change affects.
 func Difference(w io.Writer, output string, base uint64, latest declarer.Document, change declarer.Change) error {
-	sections := make([]section, 0, len(change))
+	d := NewComparison(base, latest, change)
+	if output == JSON {
+		return writeJSON(w, d)
+	}
+	return d.write(w)
+}
+
+// Comparison is the sections that a change affects on a base revision.
+type Comparison struct {
+	Base     uint64    `json:"base"`
+	Sections []section `json:"sections"`
+}
+
+// NewComparison returns the old and new contents of each section that a change affects.
+func NewComparison(base uint64, latest declarer.Document, change declarer.Change) *Comparison {
+	d := &Comparison{
+		Base:     base,
+		Sections: make([]section, 0, len(change)),
+	}
 	for _, k := range change.Keys() {
-		sections = append(sections, section{
+		d.Sections = append(d.Sections, section{
 			Key: string(k),
 			Old: string(latest[k]),
 			New: string(change[k]),
 		})
 	}
-	if output == JSON {
-		return writeJSON(w, struct {
-			Base     uint64    `json:"base"`
-			Sections []section `json:"sections"`
-		}{
-			Base:     base,
-			Sections: sections,
-		})
-	}
-	for _, s := range sections {
+	return d
+}
+
+// write writes the comparison as text.
+func (d *Comparison) write(w io.Writer) error {
+	for _, s := range d.Sections {
 		if _, err := fmt.Fprintf(w, "%s\n%s%s", s.Key, prefixLines("- ", s.Old), prefixLines("+ ", s.New)); err != nil {
 			return err
 		}
 	}
-	_, err := fmt.Fprintf(w, "%d sections differ from revision %d\n", len(sections), base)
+	_, err := fmt.Fprintf(w, "%d sections differ from revision %d\n", len(d.Sections), d.Base)
 	return err
 }
 
--- a/router/configuration_test.go
+++ b/router/configuration_test.go
@@ -17,6 +17,7 @@
 
 // Exit codes of the operators' command line.
 const (
+	exitFindings = 1
 	exitInvalid  = 2
 	exitConflict = 3
 	exitPending  = 4
@@ -233,7 +234,25 @@
 		t.Errorf("caller's key at the operators' interface: got %q, %v; want unauthenticated", out, err)
 	}
 	path := s.writeFile("bad.toml", declarations("tier = \"free\"", "tier = \"gratis\""))
-	if out, err := s.runOperator("r1", operatorKey, "check", path); exitCode(err) != exitInvalid || !strings.Contains(out, "bad.toml:") || !strings.Contains(out, "customer.hospice.tier") {
-		t.Errorf("got %q, %v; want an error with file, line and key", out, err)
+	for _, test := range []struct {
+		name string
+		args []string
+		code int
+		want []string
+	}{
+		{name: "checked", args: []string{"check", path}, code: exitFindings, want: []string{"bad.toml:", "customer.hospice.tier"}},
+		{name: "compared", args: []string{"diff", path}, code: exitInvalid, want: []string{"bad.toml:", "customer.hospice.tier"}},
+		{name: "applied", args: []string{"apply", "--base", "1", path}, code: exitInvalid, want: []string{"bad.toml:", "customer.hospice.tier"}},
+		{name: "no such file", args: []string{"check", path + "x"}, code: exitInvalid, want: []string{"bad.tomlx"}},
+	} {
+		out, err := s.runOperator("r1", operatorKey, test.args...)
+		if got := exitCode(err); got != test.code {
+			t.Errorf("%s: got exit code %d, want %d", test.name, got, test.code)
+		}
+		for _, want := range test.want {
+			if !strings.Contains(out, want) {
+				t.Errorf("%s: got %q, want %q in it", test.name, out, want)
+			}
+		}
 	}
 }
