--- a/router/acquirer/unknown.go
+++ b/router/acquirer/unknown.go
@@ -68,6 +68,9 @@
 	switch {
 	case ask.GetResumed():
 		return 0, false
+	case ask.GetPromise().GetPatienceMs() > 0:
+		// A refusal that arrives before the caller leaves can still tell it when to return.
+		return scalePatience(ask.GetPromise().GetPatienceMs()), true
 	case ask.GetPromise().GetRemainingMs() > 0:
 		return time.Duration(ask.GetPromise().GetRemainingMs()) * time.Millisecond, true
 	case ask.GetTerms().GetMaxWaitMs() > 0:
@@ -76,6 +79,13 @@
 	return defaultLongestWait, true
 }
 
+// patienceFraction is the fraction of a caller's patience for which its request waits.
+const patienceFraction = 0.8
+
+func scalePatience(ms int64) time.Duration {
+	return time.Duration(patienceFraction * float64(ms) * float64(time.Millisecond))
+}
+
 // markUnknown records the requests on which the owner can't decide. The caller holds p.mu.
 func (p *pool) markUnknown(m *messenger.FromOwner) {
 	if len(m.GetUnknown()) == 0 {
