--- a/router/proxier/promise_test.go
+++ b/router/proxier/promise_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/declarer"
 )
 
 // TestAskWithoutPromise guards against asks that don't carry what the route promises, and
@@ -22,6 +23,7 @@
 	f := newFixture(cataloguer.Resumable, true, broken, good)
 	job := f.job(2 * time.Second)
 	job.Request.OutputHint = 40
+	job.Rank = &declarer.Rank{QueueLimit: 5}
 	if _, err := f.proxier.Serve(t.Context(), httptest.NewRecorder(), job); err != nil {
 		t.Fatal(err)
 	}
@@ -32,6 +34,10 @@
 	if got, want := first.GetFirstTokenMs(), f.route.Target.Milliseconds(); got > want || got <= 0 {
 		t.Errorf("first token: got %d ms, want at most %d and more than 0", got, want)
 	}
+	// An owner of an older build reads only the terms.
+	if got, want := f.tickets.asks[0].GetTerms().GetQueueLimit(), int32(5); got != want {
+		t.Errorf("queue limit of the terms: got %d, want %d", got, want)
+	}
 	if got, want := f.tickets.asks[0].GetOutputHint(), int64(40); got != want {
 		t.Errorf("estimate: got %d tokens, want %d", got, want)
 	}
--- a/router/scheduler/hold.go
+++ b/router/scheduler/hold.go
@@ -21,11 +21,12 @@
 }
 
 // longestWaiting returns, of the requests with a promise that can be on time or of those that
-// can't, the one that has waited longest; nil if there is none.
+// can't, the one that has waited longest; nil if there is none. One that avoids endpoints may
+// find no chain for another reason than its size.
 func longestWaiting(heads []*waitingRequest, late bool) *waitingRequest {
 	var longest *waitingRequest
 	for _, w := range heads {
-		if w.ask.Promise == nil || w.late != late {
+		if w.ask.Promise == nil || w.late != late || len(w.ask.Avoid) > 0 {
 			continue
 		}
 		if longest == nil || w.since.Before(longest.since) {
