--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -209,7 +209,7 @@
 // tooLongDetail returns the detail text for a request that could not start in time.
 func (p *Pool) tooLongDetail(wait, longest time.Duration) string {
 	return fmt.Sprintf("the request could not start in time: a wait of %v is expected behind %d waiting and %d running requests, and at most %v is allowed",
-		wait.Round(time.Millisecond), len(p.waiting), len(p.active), longest)
+		wait.Round(time.Millisecond), len(p.waiting), len(p.active), longest.Round(time.Millisecond))
 }
 
 func (p *Pool) refuse(r identifier.Request, kind classifier.Kind, detail string, after time.Duration) {
@@ -413,7 +413,7 @@
 	for _, c := range p.classOrder {
 		for _, w := range c.removeExpired(now) {
 			delete(p.waiting, w.ask.Request)
-			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited longer than its limit of %v", w.deadline.Sub(w.since))
+			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited longer than its limit of %v", w.deadline.Sub(w.since).Round(time.Millisecond))
 			if !p.covered() {
 				kind, detail = classifier.NoChain, "no chain of endpoints covers every layer"
 			}
