Limit the memory of all unfinished request bodies together

Each body was read whole, up to the limit of one request; nothing bounded all of them. Bodies now take their memory from caller.body-memory in chunks as bytes arrive. When it is full, the body that has gone longest without a byte is dropped with overloaded, which promises that the request has not run; whether a body is complete or dropped is decided under one lock.

After a body that could not be read to its end, the connection is closed: a wrapped body hid from net/http that it had failed, so that the rest of an endless trailer was read as the next request's head.

--- a/router/components.go
+++ b/router/components.go
@@ -24,6 +24,7 @@
 	"heatherhold.dev/router/executor"
 	"heatherhold.dev/router/forwarder"
 	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/limiter"
 	"heatherhold.dev/router/loader"
 	"heatherhold.dev/router/logger"
 	"heatherhold.dev/router/provider"
@@ -58,6 +59,7 @@
 		newAcquirer,
 		newClaimer,
 		newReporter,
+		newBodies,
 		newServer,
 		newAdministrator,
 	),
@@ -187,7 +189,7 @@
 	return reporter.New(tracerProvider.Tracer("heatherhold")), nil
 }
 
-func newServer(s *loader.Settings, pub *publisher.Publisher, a *acquirer.Acquirer, e driver.Engine, c *claimer.Claimer, p *reporter.Reporter, ctl *controller.Controller, log logrus.FieldLogger) *server.Server {
+func newServer(s *loader.Settings, pub *publisher.Publisher, a *acquirer.Acquirer, e driver.Engine, c *claimer.Claimer, bodies *limiter.Bodies, p *reporter.Reporter, ctl *controller.Controller, log logrus.FieldLogger) *server.Server {
 	srv := &server.Server{
 		Publisher: pub,
 		Streamer: &streamer.Streamer{
@@ -208,6 +210,7 @@
 		Log:          log,
 		DataCentre:   s.DataCentre,
 		BodyLimit:    s.Caller.BodyLimit,
+		Bodies:       bodies,
 		BodyTimeout:  s.Caller.BodyTimeout.Std(),
 		WriteTimeout: s.Caller.WriteTimeout.Std(),
 	}
@@ -217,6 +220,15 @@
 	return srv
 }
 
+func newBodies(s *loader.Settings, p *reporter.Reporter, log logrus.FieldLogger) *limiter.Bodies {
+	b := limiter.NewBodies()
+	b.Limit = s.BodyMemory()
+	b.Reporter = p
+	b.Log = log
+	p.Gauge("heatherhold_unfinished_body_bytes", func() float64 { return float64(b.Reserved()) })
+	return b
+}
+
 func newBudget() *streamer.Budget {
 	return &streamer.Budget{
 		Ratio:     retryRatio,
--- /dev/null
+++ b/router/limiter/bodies.go
@@ -0,0 +1,220 @@
+package limiter
+
+import (
+	"container/list"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/router/reporter"
+)
+
+const (
+	// minBodyChunk and maxBodyChunk are the sizes of the smallest and the largest chunk of an
+	// unfinished body, in bytes.
+	minBodyChunk = 2 << 10
+	maxBodyChunk = 32 << 10
+	// sameTime is the difference up to which the last bytes of two bodies count as received at
+	// the same time. Among those the largest body is dropped.
+	sameTime = time.Millisecond
+	// bodyRetryAfter is the suggested retry delay of a request whose body was dropped. The caller
+	// sent nothing for longer than all others, so it is not expected back at once.
+	bodyRetryAfter = time.Second
+)
+
+// ErrBodyDropped is the cause of the error for a body that was dropped because the memory for
+// unfinished bodies is full.
+var ErrBodyDropped = errors.New("the memory for unfinished request bodies is full")
+
+// newBodyDropped returns the error for a body that was dropped. The request has not run.
+func newBodyDropped() error {
+	return &classifier.Error{
+		Kind:       classifier.Overloaded,
+		Detail:     "the instance has no memory for the request body",
+		RetryAfter: bodyRetryAfter,
+		Wrapped:    ErrBodyDropped,
+	}
+}
+
+// Bodies reads request bodies and limits the memory of all unfinished ones together. If it is
+// exceeded, the body that has gone longest without receiving a byte is dropped. Create it with
+// NewBodies and set the exported fields before use.
+type Bodies struct {
+	// Limit is in bytes. Twice the largest body that a request may have is always allowed.
+	Limit    int64
+	Reporter *reporter.Reporter
+	Log      logrus.FieldLogger
+
+	logLimiter *rate.Limiter
+
+	mu sync.Mutex
+	// reserved is the memory of all bodies that are being read, in bytes.
+	reserved int64
+	// unfinished has the bodies that may be dropped, in the order of their last bytes.
+	unfinished *list.List
+}
+
+// NewBodies returns a Bodies whose exported fields are not set.
+func NewBodies() *Bodies {
+	return &Bodies{
+		logLimiter: rate.NewLimiter(logRate, logBurst),
+		unfinished: list.New(),
+	}
+}
+
+// body is a request body that is being read. Its fields are guarded by Bodies.mu.
+type body struct {
+	// interrupt ends a read in progress.
+	interrupt func()
+	// element is the body's place among the unfinished ones; nil before its first byte and once
+	// it is complete or dropped.
+	element *list.Element
+	// reserved is in bytes.
+	reserved int64
+	lastByte time.Time
+	dropped  bool
+}
+
+// Reserved returns the memory of the bodies that are being read, in bytes.
+func (x *Bodies) Reserved() int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.reserved
+}
+
+// Read reads the whole body r, of which the caller allows at most largest bytes; 0 means no limit.
+// If the body is dropped, Read calls interrupt, which must end a read of r that is in progress, and
+// returns an error of kind overloaded with the cause ErrBodyDropped. A nil *Bodies sets no limit.
+func (x *Bodies) Read(r io.Reader, largest int64, interrupt func()) ([]byte, error) {
+	if x == nil {
+		return io.ReadAll(r)
+	}
+	b := &body{interrupt: interrupt}
+	defer x.release(b)
+	var chunks [][]byte
+	chunk := make([]byte, 0, minBodyChunk)
+	for size := 0; ; {
+		if len(chunk) == cap(chunk) {
+			chunks = append(chunks, chunk)
+			next := min(max(size/2, minBodyChunk), maxBodyChunk)
+			if !x.reserve(b, int64(next), largest) {
+				return nil, newBodyDropped()
+			}
+			chunk = make([]byte, 0, next)
+		}
+		n, err := r.Read(chunk[len(chunk):cap(chunk)])
+		chunk = chunk[:len(chunk)+n]
+		size += n
+		if n > 0 && !x.received(b, largest) {
+			return nil, newBodyDropped()
+		}
+		if err == nil {
+			continue
+		}
+		if !x.finish(b) {
+			return nil, newBodyDropped()
+		}
+		if !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+		if len(chunks) == 0 {
+			return chunk, nil
+		}
+		return slices.Concat(append(chunks, chunk)...), nil
+	}
+}
+
+// received records that bytes of b arrived now. The first chunk counts from its first byte on. It
+// returns false if b was dropped.
+func (x *Bodies) received(b *body, largest int64) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if b.dropped {
+		return false
+	}
+	b.lastByte = time.Now()
+	if b.element != nil {
+		x.unfinished.MoveToBack(b.element)
+		return true
+	}
+	b.element = x.unfinished.PushBack(b)
+	return x.reserveLocked(b, minBodyChunk, largest)
+}
+
+// reserve reserves n more bytes for b, for which it drops other bodies or b itself. It returns
+// false if b was dropped.
+func (x *Bodies) reserve(b *body, n, largest int64) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !b.dropped && x.reserveLocked(b, n, largest)
+}
+
+func (x *Bodies) reserveLocked(b *body, n, largest int64) bool {
+	b.reserved += n
+	x.reserved += n
+	for x.reserved > max(x.Limit, 2*(largest+maxBodyChunk)) && x.unfinished.Len() > 0 && !b.dropped {
+		x.drop(x.victim())
+	}
+	return !b.dropped
+}
+
+// victim returns the body to drop: the one that has gone longest without receiving a byte and,
+// among those, the largest. There must be one.
+func (x *Bodies) victim() *body {
+	first := x.unfinished.Front()
+	victim := first.Value.(*body)
+	oldest := victim.lastByte
+	for e := first.Next(); e != nil && e.Value.(*body).lastByte.Sub(oldest) < sameTime; e = e.Next() {
+		if b := e.Value.(*body); b.reserved > victim.reserved {
+			victim = b
+		}
+	}
+	return victim
+}
+
+func (x *Bodies) drop(b *body) {
+	b.dropped = true
+	x.Reporter.CountBodyDropped(bodyOverMemory)
+	if x.logLimiter.Allow() {
+		x.Log.WithFields(logrus.Fields{
+			"bytes":     b.reserved,
+			"silent-ms": time.Since(b.lastByte).Milliseconds(),
+			"all-bytes": x.reserved,
+			"bodies":    x.unfinished.Len(),
+		}).Warn("request body dropped; the memory for bodies is full")
+	}
+	x.unfinished.Remove(b.element)
+	b.element = nil
+	x.reserved -= b.reserved
+	b.reserved = 0
+	b.interrupt()
+}
+
+// bodyOverMemory is the reason for which a body is dropped if the memory of all is full.
+const bodyOverMemory = "memory"
+
+// finish ends the time in which b may be dropped. It returns false if b was dropped before.
+func (x *Bodies) finish(b *body) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if b.element != nil {
+		x.unfinished.Remove(b.element)
+		b.element = nil
+	}
+	return !b.dropped
+}
+
+// release releases the memory of b.
+func (x *Bodies) release(b *body) {
+	x.finish(b)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.reserved -= b.reserved
+	b.reserved = 0
+}
--- a/router/receiver/active.go
+++ b/router/receiver/active.go
@@ -15,6 +15,9 @@
 	cancel context.CancelCauseFunc
 	// job is nil until the configuration's route for the request is known.
 	job *proxier.Job
+	// bodyFailed is set if the body could not be read to its end. Only the request's own goroutine
+	// uses it.
+	bodyFailed bool
 }
 
 // activeRequests is the set of requests that are being served. The zero value is empty.
--- a/router/receiver/body.go
+++ b/router/receiver/body.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/router/limiter"
 )
 
 // setBodyDeadline sets the read deadline for the request body. Refused requests
@@ -25,18 +26,21 @@
 }
 
 // readBodyUntil reads a request body of at most limit bytes, until ctx ends.
-func readBodyUntil(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	stop := context.AfterFunc(ctx, func() {
-		// A writer without a connection doesn't support deadlines and needs none.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
-	})
-	data, err := readBody(w, r, limit)
+func (x *Receiver) readBodyUntil(ctx context.Context, w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	stop := context.AfterFunc(ctx, func() { endReads(w) })
+	data, err := x.readBody(w, r, limit)
 	if !stop() && errors.Is(context.Cause(ctx), classifier.ErrStopping) {
 		return nil, classifier.NewStopping(err)
 	}
 	return data, err
 }
 
+// endReads ends reads of the request body, those in progress too.
+func endReads(w http.ResponseWriter) {
+	// A writer without a connection doesn't support deadlines and needs none.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+}
+
 // unwrap returns the writer of net/http itself: only that one closes the connection after a body that
 // exceeds the limit of MaxBytesReader.
 func unwrap(w http.ResponseWriter) http.ResponseWriter {
@@ -47,19 +51,21 @@
 }
 
 // readBody reads a request body of at most limit bytes; 0 means no limit.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+func (x *Receiver) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(unwrap(w), r.Body, limit)
 	}
-	data, err := io.ReadAll(r.Body)
+	data, err := x.Bodies.Read(r.Body, limit, func() { endReads(w) })
 	var tooLarge *http.MaxBytesError
 	var netErr net.Error
 	switch {
 	case err == nil:
 		return data, nil
+	case errors.Is(err, limiter.ErrBodyDropped):
+		return nil, err
 	case errors.As(err, &tooLarge):
 		return nil, classifier.New(classifier.TooLarge, "the request body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -19,6 +19,7 @@
 	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/courier"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/limiter"
 	"heatherhold.dev/router/proxier"
 	"heatherhold.dev/router/publisher"
 )
@@ -35,6 +36,8 @@
 	Publisher *publisher.Publisher
 	Proxier   *proxier.Proxier
 	Codec     Codec
+	// Bodies limits the memory of unfinished request bodies; nil sets no limit.
+	Bodies *limiter.Bodies
 	// OnRefusal, if set, is called for each request that gets an error response
 	// from the router itself.
 	OnRefusal func(classifier.Kind)
@@ -163,14 +166,19 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.reset()
+	if active.bodyFailed {
+		// What follows on the connection is the rest of the body, not a request.
+		w.Header().Set("Connection", "close")
+	}
 	x.refuse(w, v, request, err)
 }
 
 // readEnded reports whether the router itself ended the reading of the request, which cancels
-// the context although the caller is still connected: a body missed its deadline, or a planned
-// stop has ended the request.
+// the context although the caller is still connected: a body missed its deadline or was dropped, or
+// a planned stop has ended the request.
 func readEnded(ctx context.Context, err error) bool {
-	return classifier.Classify(err).Kind == classifier.TooSlow || errors.Is(context.Cause(ctx), classifier.ErrStopping)
+	return classifier.Classify(err).Kind == classifier.TooSlow || errors.Is(err, limiter.ErrBodyDropped) ||
+		errors.Is(context.Cause(ctx), classifier.ErrStopping)
 }
 
 // log returns a log entry for a request that ended with err; v is the view that
@@ -207,7 +215,8 @@
 	}
 	x.active.setJob(active, &job)
 	setBodyDeadline(w, r, job.Deadline)
-	if request.Body, err = readBodyUntil(ctx, w, r, v.Site.Limits.BodyBytes); err != nil {
+	if request.Body, err = x.readBodyUntil(ctx, w, r, v.Site.Limits.BodyBytes); err != nil {
+		active.bodyFailed = true
 		return err
 	}
 	if _, err := x.Proxier.Serve(ctx, w, job); err != nil {
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -69,6 +69,11 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_requests_not_taken_total{reason=%q}`, reason)).Inc()
 }
 
+// CountBodyDropped counts, by reason, a request body that was dropped before it was complete.
+func (r *Reporter) CountBodyDropped(reason string) {
+	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_bodies_dropped_total{reason=%q}`, reason)).Inc()
+}
+
 // StreamTimings holds the timings of one stream as its caller saw them.
 type StreamTimings struct {
 	// Queued is the time spent waiting for chains, FirstEvent the time to the first
--- a/router/server/model.go
+++ b/router/server/model.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -17,6 +16,7 @@
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/limiter"
 	"heatherhold.dev/router/streamer"
 )
 
@@ -57,7 +57,7 @@
 
 func (s *Server) completions(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
 	var c completionRequest
-	if err := decode(ctx, r, &c); err != nil {
+	if err := s.decode(ctx, w, r, x, &c); err != nil {
 		return err
 	}
 	return s.generate(ctx, w, r, x, generation{
@@ -72,7 +72,7 @@
 
 func (s *Server) chat(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error {
 	var c chatRequest
-	if err := decode(ctx, r, &c); err != nil {
+	if err := s.decode(ctx, w, r, x, &c); err != nil {
 		return err
 	}
 	if len(c.Messages) == 0 {
@@ -112,8 +112,8 @@
 
 // decode decodes a JSON body into v. Unknown keys are ignored, because clients of
 // this format send many of them.
-func decode(ctx context.Context, r *http.Request, v any) error {
-	data, err := readBody(ctx, r)
+func (s *Server) decode(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange, v any) error {
+	data, err := s.readBody(ctx, w, r, x)
 	if err != nil {
 		return err
 	}
@@ -123,10 +123,17 @@
 	return nil
 }
 
-func readBody(ctx context.Context, r *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(r.Body)
+// readBody reads the request body.
+func (s *Server) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) ([]byte, error) {
+	data, err := s.Bodies.Read(r.Body, s.BodyLimit, func() {
+		// A writer without a connection doesn't support deadlines and needs none.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+	x.bodyFailed = err != nil
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, limiter.ErrBodyDropped):
+		return nil, err
 	case errors.As(err, &tooLarge):
 		return nil, classifier.New(classifier.TooLarge, "the request body is larger than the limit")
 	case err != nil && errors.Is(context.Cause(ctx), classifier.ErrStopping):
--- a/router/server/plain.go
+++ b/router/server/plain.go
@@ -40,7 +40,7 @@
 	if service.Kind != declarer.Plain {
 		return classifier.New(classifier.BadRequest, string(name)+" is a model service: use the paths under /v1")
 	}
-	data, err := readBody(ctx, r)
+	data, err := s.readBody(ctx, w, r, x)
 	if err != nil {
 		return err
 	}
--- a/router/server/server.go
+++ b/router/server/server.go
@@ -16,6 +16,7 @@
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/authenticator"
 	"heatherhold.dev/router/forwarder"
+	"heatherhold.dev/router/limiter"
 	"heatherhold.dev/router/publisher"
 	"heatherhold.dev/router/reporter"
 	"heatherhold.dev/router/streamer"
@@ -30,6 +31,8 @@
 	Log        logrus.FieldLogger
 	DataCentre identifier.DataCentre
 	BodyLimit  int64
+	// Bodies limits the memory of unfinished request bodies; nil sets no limit.
+	Bodies *limiter.Bodies
 	// BodyTimeout limits the time that a caller takes to send a request body.
 	BodyTimeout time.Duration
 	// WriteTimeout limits the time that a caller takes to read one event of a
@@ -101,6 +104,8 @@
 	log    logrus.FieldLogger
 	// responseStarted is set once a part of the response was sent.
 	responseStarted bool
+	// bodyFailed is set if the body could not be read to its end.
+	bodyFailed bool
 }
 
 type handler func(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error
@@ -170,6 +175,10 @@
 	if x.responseStarted {
 		panic(http.ErrAbortHandler)
 	}
+	if x.bodyFailed {
+		// What follows on the connection is the rest of the body, not a request.
+		w.Header().Set("Connection", "close")
+	}
 	classifier.Write(w, e)
 }
 
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -79,6 +79,7 @@
 		newProxier,
 		newQuarantiner,
 		newKeeper,
+		newBodies,
 		newReceiver,
 		newLimiter,
 		newReconciler,
@@ -189,11 +190,12 @@
 	bufferedResponseShare = 0.25
 )
 
-func newReceiver(pub *publisher.Publisher, proxy *proxier.Proxier, p *reporter.Reporter, log logrus.FieldLogger) *receiver.Receiver {
+func newReceiver(pub *publisher.Publisher, proxy *proxier.Proxier, bodies *limiter.Bodies, p *reporter.Reporter, log logrus.FieldLogger) *receiver.Receiver {
 	return &receiver.Receiver{
 		Publisher: pub,
 		Proxier:   proxy,
 		Codec:     translator.Codec{},
+		Bodies:    bodies,
 		OnRefusal: p.CountResponse,
 		Log:       log,
 	}
