--- a/router/limiter/bodies.go
+++ b/router/limiter/bodies.go
@@ -196,8 +196,24 @@
 	b.interrupt()
 }
 
-// bodyOverMemory is the reason for which a body is dropped if the memory of all is full.
-const bodyOverMemory = "memory"
+// The reasons for which bodies are dropped: the memory of all is full, or the announced length is over
+// the limit of one.
+const (
+	bodyOverMemory = "memory"
+	bodyOverLength = "length"
+)
+
+// CheckLength reports whether a body of the announced length, -1 if none is, may be read, of which the
+// caller allows at most largest bytes; 0 means no limit. It counts those that may not.
+func (x *Bodies) CheckLength(length, largest int64) bool {
+	if largest <= 0 || length <= largest {
+		return true
+	}
+	if x != nil {
+		x.Reporter.CountBodyDropped(bodyOverLength)
+	}
+	return false
+}
 
 // finish ends the time in which b may be dropped. It returns false if b was dropped before.
 func (x *Bodies) finish(b *body) bool {
--- a/router/receiver/body.go
+++ b/router/receiver/body.go
@@ -55,6 +55,9 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	if !x.Bodies.CheckLength(r.ContentLength, limit) {
+		return nil, newTooLarge(limit)
+	}
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(unwrap(w), r.Body, limit)
 	}
@@ -67,7 +70,7 @@
 	case errors.Is(err, limiter.ErrBodyDropped):
 		return nil, err
 	case errors.As(err, &tooLarge):
-		return nil, classifier.New(classifier.TooLarge, "the request body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+		return nil, newTooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, classifier.New(classifier.TooSlow, "the request body did not arrive in time")
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
@@ -75,3 +78,7 @@
 	}
 	return nil, classifier.Wrap(classifier.BadRequest, err, "the request body is malformed")
 }
+
+func newTooLarge(limit int64) error {
+	return classifier.New(classifier.TooLarge, "the request body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+}
--- a/router/receiver/body_test.go
+++ b/router/receiver/body_test.go
@@ -46,6 +46,8 @@
 		{name: "slow chunk", path: "/orders/1", header: "Transfer-Encoding: chunked", body: "3\r\na", status: 408, kind: "too-slow"},
 		{name: "malformed chunk", path: "/orders/1", header: "Transfer-Encoding: chunked", body: "zz\r\n", status: 400, kind: "bad-request"},
 		{name: "too many chunks", path: "/orders/1", header: "Transfer-Encoding: chunked", body: "8\r\n12345678\r\n", status: 413, kind: "too-large"},
+		{name: "length over the limit, nothing sent", path: "/orders/1", header: "Content-Length: 5", body: "", status: 413, kind: "too-large"},
+		{name: "long trailer", path: "/orders/1", header: "Transfer-Encoding: chunked", body: "0\r\nLong: " + strings.Repeat("x", 8<<10), status: 400, kind: "bad-request"},
 		{name: "slow, no route", path: "/other/", header: "Content-Length: 3", body: "a", status: 404, kind: "not-found"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -65,8 +67,8 @@
 			if want := `"kind":"` + c.kind + `"`; !strings.Contains(logOutput.String(), want) {
 				t.Errorf("got log %s, want %s in it", logOutput, want)
 			}
-			if c.status == http.StatusRequestEntityTooLarge && !res.Close {
-				t.Error("got a kept connection after a body that is too large, want Connection: close")
+			if c.status != http.StatusNotFound && !res.Close {
+				t.Error("got a kept connection after a body that was not read to its end, want Connection: close")
 			}
 		})
 	}
--- a/router/server/model.go
+++ b/router/server/model.go
@@ -123,8 +123,14 @@
 	return nil
 }
 
+var errTooLarge = classifier.New(classifier.TooLarge, "the request body is larger than the limit")
+
 // readBody reads the request body.
 func (s *Server) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) ([]byte, error) {
+	if !s.Bodies.CheckLength(r.ContentLength, s.BodyLimit) {
+		x.bodyFailed = true
+		return nil, errTooLarge
+	}
 	data, err := s.Bodies.Read(r.Body, s.BodyLimit, func() {
 		// A writer without a connection doesn't support deadlines and needs none.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
@@ -135,7 +141,7 @@
 	case errors.Is(err, limiter.ErrBodyDropped):
 		return nil, err
 	case errors.As(err, &tooLarge):
-		return nil, classifier.New(classifier.TooLarge, "the request body is larger than the limit")
+		return nil, errTooLarge
 	case err != nil && errors.Is(context.Cause(ctx), classifier.ErrStopping):
 		return nil, classifier.NewStopping(err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
