Limit the memory of an unfinished header to the declared limit

net/http reads up to 1 MiB of a header before the handler checks the declared limit. The connection now stops at that limit plus 4 KiB, and at headers of very many short lines, each of which costs a map entry. Empty lines before a request count as part of it. The own interface already has the bound.

--- a/router/limiter/conn.go
+++ b/router/limiter/conn.go
@@ -43,6 +43,8 @@
 	// headerBytes is the number of bytes of the header read so far, firstBytes holds the first of
 	// them, and readErr is the error of the last read.
 	headerBytes int
+	// headerLines is the number of line ends in the header so far.
+	headerLines int
 	firstBytes  []byte
 	readErr     error
 	// readAhead holds the next request's first byte if it arrived while a handler
@@ -50,6 +52,8 @@
 	readAhead []byte
 	// status is the status code of a response that was sent without a handler.
 	status string
+	// refused is set once the header was refused because of its size.
+	refused bool
 	// served is set when a handler is called for the request.
 	served bool
 }
@@ -63,6 +67,7 @@
 		c.kept = true
 		c.setPhase(waiting)
 		c.headerBytes = 0
+		c.headerLines = 0
 		c.firstBytes = c.firstBytes[:0]
 		c.status = ""
 		c.served = false
@@ -113,7 +118,11 @@
 		}
 		return n, err
 	}
-	n, err := c.readUntilDeadline(p)
+	left := c.headerBytesLeft()
+	if left <= 0 {
+		return 0, c.refuseHeader()
+	}
+	n, err := c.readUntilDeadline(p[:min(len(p), left)])
 	c.recordRead(p[:n], err)
 	if c.phase == reading && timedOut(err) {
 		return n, c.writeTimeoutResponse(err)
@@ -189,6 +198,7 @@
 		c.setPhase(reading)
 	}
 	c.headerBytes += len(p)
+	c.headerLines += bytes.Count(p, []byte("\n"))
 	c.firstBytes = append(c.firstBytes, p[:min(len(p), maxLogLineBytes-len(c.firstBytes))]...)
 }
 
@@ -200,8 +210,11 @@
 )
 
 // Write writes to the connection and records the status of a response that no handler
-// wrote. After timeoutResponse it discards what net/http writes.
+// wrote. After timeoutResponse or tooLargeResponse it discards what net/http writes.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.refused {
+		return len(p), nil
+	}
 	if !c.served && c.status != "" && timedOut(c.readErr) {
 		return len(p), nil
 	}
--- a/router/limiter/limiter.go
+++ b/router/limiter/limiter.go
@@ -24,8 +24,8 @@
 	// handler ran, and logBurst the lines at once. All such requests are counted.
 	logRate  = 10
 	logBurst = 50
-	// maxHeaderBytes limits the memory used by a request header, in bytes. It is far
-	// above the limits that operators declare; the handler enforces those.
+	// maxHeaderBytes limits the memory used by a request header where no limit is
+	// declared, in bytes. A router that has no configuration yet can't know the limit.
 	maxHeaderBytes = 1 << 20
 )
 
