Limit the number of callers' connections

Idle connections could use up the process's descriptors; then nobody was answered. Over caller.max-connections, the connection that has been idle longest is closed, then the one whose header has been arriving longest; if all are being served, the new one. No request is served on a closed connection.

--- a/router/components.go
+++ b/router/components.go
@@ -60,6 +60,7 @@
 		newClaimer,
 		newReporter,
 		newBodies,
+		newConnections,
 		newServer,
 		newAdministrator,
 	),
@@ -229,6 +230,16 @@
 	return b
 }
 
+func newConnections(s *loader.Settings, p *reporter.Reporter, log logrus.FieldLogger) (*limiter.Connections, error) {
+	c := limiter.NewConnections()
+	c.Reporter = p
+	c.Log = log
+	p.Gauge("heatherhold_caller_connections", func() float64 { return float64(c.Len()) })
+	var err error
+	c.Max, err = s.MaxConnections()
+	return c, err
+}
+
 func newBudget() *streamer.Budget {
 	return &streamer.Budget{
 		Ratio:     retryRatio,
--- a/router/limiter/conn.go
+++ b/router/limiter/conn.go
@@ -71,6 +71,9 @@
 		c.firstBytes = c.firstBytes[:0]
 		c.status = ""
 		c.served = false
+		if own := counted(c); own != nil && len(c.readAhead) > 0 {
+			own.connections.setState(own, connReceiving)
+		}
 		c.recordRead(c.readAhead, nil)
 		c.readAhead = c.readAhead[:0]
 	case http.StateClosed:
@@ -233,11 +236,20 @@
 	return nil
 }
 
-// reason returns why a request ended before a handler ran: how the connection failed,
+// NetConn returns the underlying connection.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// reason returns why a request ended before a handler ran: "connections" if too many
+// were open, how the connection failed,
 // the status that net/http responded with, or "stopping" if the server closed the
 // connection without a response.
 func (c *conn) reason() string {
+	own := counted(c)
 	switch {
+	case own != nil && own.dropped.Load():
+		return "connections"
 	case errors.Is(c.readErr, net.ErrClosed):
 		return "stopping"
 	case timedOut(c.readErr):
--- /dev/null
+++ b/router/limiter/connections.go
@@ -0,0 +1,259 @@
+package limiter
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"heatherhold.dev/router/reporter"
+)
+
+// connState is what a connection is used for.
+type connState int32
+
+const (
+	// connIdle is the state of a connection that has received nothing of its next request.
+	connIdle connState = iota
+	// connReceiving is the state while the header of a request arrives.
+	connReceiving
+	// connServing is the state from the end of a header to the end of the response.
+	connServing
+	connStates
+)
+
+// dropReasons are the reasons for which connections in each state are closed. One that is being served
+// is never closed; the new one is instead.
+var dropReasons = [connStates]string{"idle", "header", "new"}
+
+// Connections limits the number of open connections. Over the limit, it closes the connection that has
+// been idle longest; if none is idle, the one whose header has been arriving longest; and if there is
+// none of these either, the new one. Create it with NewConnections and set the exported fields before
+// use.
+type Connections struct {
+	// Max is the largest number of connections; 0 means no limit.
+	Max      int
+	Reporter *reporter.Reporter
+	Log      logrus.FieldLogger
+
+	logLimiter *rate.Limiter
+
+	mu sync.Mutex
+	// open has the connections in each state, in the order in which they came to it.
+	open [connStates]*list.List
+}
+
+// NewConnections returns a Connections whose exported fields are not set.
+func NewConnections() *Connections {
+	x := &Connections{logLimiter: rate.NewLimiter(logRate, logBurst)}
+	for i := range x.open {
+		x.open[i] = list.New()
+	}
+	return x
+}
+
+// Len returns the number of open connections.
+func (x *Connections) Len() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.lenLocked()
+}
+
+func (x *Connections) lenLocked() int {
+	n := 0
+	for _, l := range x.open {
+		n += l.Len()
+	}
+	return n
+}
+
+// countedConn is a connection that counts towards the limit.
+type countedConn struct {
+	net.Conn
+	connections *Connections
+	state       atomic.Int32
+	// dropped is set once the connection was closed because of the limit.
+	dropped atomic.Bool
+	// element is nil once the connection is closed. It and since are guarded by Connections.mu.
+	element *list.Element
+	// since is when the connection came to its state.
+	since time.Time
+}
+
+// Read reads from the connection. The first byte begins a request's header.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && connState(c.state.Load()) == connIdle {
+		c.connections.setState(c, connReceiving)
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *countedConn) Close() error {
+	c.connections.remove(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending side.
+func (c *countedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+func (x *Connections) setState(c *countedConn, state connState) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c.element == nil {
+		return
+	}
+	x.open[c.state.Load()].Remove(c.element)
+	x.insert(c, state)
+}
+
+func (x *Connections) insert(c *countedConn, state connState) {
+	c.since = time.Now()
+	c.state.Store(int32(state))
+	c.element = x.open[state].PushBack(c)
+}
+
+func (x *Connections) remove(c *countedConn) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if c.element != nil {
+		x.open[c.state.Load()].Remove(c.element)
+		c.element = nil
+	}
+}
+
+// add counts c, for which it may close another connection or c itself. It returns nil if it has
+// closed c.
+func (x *Connections) add(c net.Conn) *countedConn {
+	out := &countedConn{
+		Conn:        c,
+		connections: x,
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.Max > 0 && x.lenLocked() >= x.Max && !x.makeRoom() {
+		out.since = time.Now()
+		x.report(out, connServing)
+		// The caller is closed out in any case; an error changes nothing.
+		_ = c.Close()
+		return nil
+	}
+	x.insert(out, connIdle)
+	return out
+}
+
+// makeRoom closes a connection that is not being served. It returns false if there is none.
+func (x *Connections) makeRoom() bool {
+	for _, state := range []connState{connIdle, connReceiving} {
+		first := x.open[state].Front()
+		if first == nil {
+			continue
+		}
+		c := first.Value.(*countedConn)
+		x.open[state].Remove(first)
+		c.element = nil
+		c.dropped.Store(true)
+		x.report(c, state)
+		// net/http sees the closed connection at its next read; an error changes nothing.
+		_ = c.Conn.Close()
+		return true
+	}
+	return false
+}
+
+func (x *Connections) report(c *countedConn, state connState) {
+	reason := dropReasons[state]
+	x.Reporter.CountConnectionDropped(reason)
+	if !x.logLimiter.Allow() {
+		return
+	}
+	x.Log.WithFields(logrus.Fields{
+		"caller":      c.RemoteAddr().String(),
+		"reason":      reason,
+		"state-ms":    time.Since(c.since).Milliseconds(),
+		"connections": x.lenLocked(),
+	}).Warn("connection of a caller closed; too many are open")
+}
+
+// Listen returns a listener that counts the connections of l.
+func (x *Connections) Listen(l net.Listener) net.Listener {
+	return &countingListener{
+		Listener:    l,
+		connections: x,
+	}
+}
+
+type countingListener struct {
+	net.Listener
+	connections *Connections
+}
+
+// Accept returns the next connection that is not closed at once because of the limit.
+func (l *countingListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if out := l.connections.add(c); out != nil {
+			return out, nil
+		}
+	}
+}
+
+// countedKey is the key of the counted connection in a request's context.
+type countedKey struct{}
+
+// Attach makes s, which serves connections accepted from a listener of Listen, report what they are used
+// for. No request is served whose connection was closed because of the limit.
+func (x *Connections) Attach(s *http.Server) {
+	handler, connContext, connStateHook := s.Handler, s.ConnContext, s.ConnState
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(countedKey{}).(*countedConn); ok && c.dropped.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	})
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, countedKey{}, counted(c))
+	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if own := counted(c); own != nil && state == http.StateActive {
+			x.setState(own, connServing)
+		} else if own != nil && state == http.StateIdle {
+			x.setState(own, connIdle)
+		}
+		if connStateHook != nil {
+			connStateHook(c, state)
+		}
+	}
+}
+
+// counted returns the counted connection below c, nil if there is none.
+func counted(c net.Conn) *countedConn {
+	for {
+		switch v := c.(type) {
+		case *countedConn:
+			return v
+		case interface{ NetConn() net.Conn }:
+			c = v.NetConn()
+		default:
+			return nil
+		}
+	}
+}
--- a/router/loader/loader.go
+++ b/router/loader/loader.go
@@ -116,16 +116,19 @@
 }
 
 // Caller holds the limits and the TLS certificate of the listener for callers. If
-// Store is set, only BodyMemory applies to callers and, where the platform's
+// Store is set, only BodyMemory and MaxConnections apply to callers and, where the platform's
 // configuration sets none, HeaderTimeout and IdleTimeout.
 type Caller struct {
 	BodyLimit int64 `toml:"body-limit"`
 	// BodyMemory is the memory for all unfinished request bodies together, in bytes; 0
 	// derives it from Store.MemoryMB.
-	BodyMemory    int64               `toml:"body-memory"`
-	HeaderLimit   int                 `toml:"header-limit"`
-	HeaderTimeout identifier.Duration `toml:"header-timeout"`
-	BodyTimeout   identifier.Duration `toml:"body-timeout"`
+	BodyMemory int64 `toml:"body-memory"`
+	// MaxConnections is the largest number of callers' connections; 0 derives it from the
+	// process's limit of descriptors and from Store.MemoryMB.
+	MaxConnections int                 `toml:"max-connections"`
+	HeaderLimit    int                 `toml:"header-limit"`
+	HeaderTimeout  identifier.Duration `toml:"header-timeout"`
+	BodyTimeout    identifier.Duration `toml:"body-timeout"`
 	// IdleTimeout is how long an unused connection stays open. It is used only if
 	// Store is set.
 	IdleTimeout identifier.Duration `toml:"idle-timeout"`
@@ -258,6 +261,7 @@
 	s.checkPeer(&c)
 	c.want(s.Caller.BodyLimit > 0, "caller.body-limit", "want 1 or more bytes")
 	c.want(s.Caller.BodyMemory >= 0, "caller.body-memory", "want 0 or more bytes, got %d", s.Caller.BodyMemory)
+	c.want(s.Caller.MaxConnections >= 0, "caller.max-connections", "want 0 or more, got %d", s.Caller.MaxConnections)
 	c.want(s.Caller.HeaderLimit >= 1<<10, "caller.header-limit", "want 1024 or more bytes")
 	c.between("caller.header-timeout", s.Caller.HeaderTimeout, minDuration, time.Minute)
 	c.between("caller.body-timeout", s.Caller.BodyTimeout, minDuration, time.Hour)
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -74,6 +74,12 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_bodies_dropped_total{reason=%q}`, reason)).Inc()
 }
 
+// CountConnectionDropped counts, by reason, a caller's connection that was closed because too many
+// were open.
+func (r *Reporter) CountConnectionDropped(reason string) {
+	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_connections_dropped_total{reason=%q}`, reason)).Inc()
+}
+
 // StreamTimings holds the timings of one stream as its caller saw them.
 type StreamTimings struct {
 	// Queued is the time spent waiting for chains, FirstEvent the time to the first
--- a/router/run.go
+++ b/router/run.go
@@ -23,6 +23,7 @@
 	"heatherhold.dev/router/dialer"
 	"heatherhold.dev/router/executor"
 	"heatherhold.dev/router/granter"
+	"heatherhold.dev/router/limiter"
 	"heatherhold.dev/router/loader"
 	"heatherhold.dev/router/publisher"
 	"heatherhold.dev/router/server"
@@ -41,16 +42,18 @@
 type daemonParams struct {
 	fx.In
 
-	Settings      *loader.Settings
-	Log           logrus.FieldLogger
-	Loop          *executor.Loop
-	Controller    *controller.Controller
-	Granter       *granter.Granter
-	Acquirer      *acquirer.Acquirer
-	Claimer       *claimer.Claimer
-	Dialer        *dialer.Dialer
-	Publisher     *publisher.Publisher
-	Server        *server.Server
+	Settings   *loader.Settings
+	Log        logrus.FieldLogger
+	Loop       *executor.Loop
+	Controller *controller.Controller
+	Granter    *granter.Granter
+	Acquirer   *acquirer.Acquirer
+	Claimer    *claimer.Claimer
+	Dialer     *dialer.Dialer
+	Publisher  *publisher.Publisher
+	Server     *server.Server
+	// Connections limits the callers' connections.
+	Connections   *limiter.Connections
 	Administrator *administrator.Administrator
 }
 
@@ -84,6 +87,7 @@
 		return err
 	}
 	d.caller = newHTTPServer(p.Settings, p.Server.Handler(), closeConnectionsOnStop(p.Publisher))
+	p.Connections.Attach(d.caller)
 	operator := newHTTPServer(p.Settings, p.Administrator.Handler(), nil)
 	d.group.Go(func() error { return p.Loop.Run(ctx) })
 	d.group.Go(func() error { return p.Controller.Run(ctx) })
@@ -122,7 +126,10 @@
 	if l.peer, err = d.params.Dialer.Listen(ctx, s.Listen.Peer); err != nil {
 		return l, err
 	}
-	if l.caller, err = listenHTTP(ctx, s.Listen.Caller, s.Caller.Certificate, s.Caller.Key); err != nil {
+	if l.caller, err = listenHTTP(ctx, s.Listen.Caller, "", ""); err != nil {
+		return l, err
+	}
+	if l.caller, err = withTLS(d.params.Connections.Listen(l.caller), s.Caller.Certificate, s.Caller.Key); err != nil {
 		return l, err
 	}
 	l.operator, err = listenHTTP(ctx, s.Listen.Operator, s.Operator.Certificate, s.Operator.Key)
@@ -130,19 +137,27 @@
 }
 
 func listenHTTP(ctx context.Context, address, certificate, key string) (net.Listener, error) {
-	tlsConfig, err := serverTLS(certificate, key)
-	if err != nil {
-		return nil, err
-	}
 	var listenConfig net.ListenConfig
 	l, err := listenConfig.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for HTTP")
 	}
-	if tlsConfig != nil {
-		l = tls.NewListener(l, tlsConfig)
+	return withTLS(l, certificate, key)
+}
+
+// withTLS returns a listener that speaks TLS over l, or l if there is no certificate. It closes l if
+// the certificate can't be used.
+func withTLS(l net.Listener, certificate, key string) (net.Listener, error) {
+	tlsConfig, err := serverTLS(certificate, key)
+	if err != nil {
+		// The listener has accepted nothing, and the router doesn't start.
+		_ = l.Close()
+		return nil, err
+	}
+	if tlsConfig == nil {
+		return l, nil
 	}
-	return l, nil
+	return tls.NewListener(l, tlsConfig), nil
 }
 
 func newHTTPServer(s *loader.Settings, h http.Handler, wrap func(http.Handler) http.Handler) *http.Server {
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -80,6 +80,7 @@
 		newQuarantiner,
 		newKeeper,
 		newBodies,
+		newConnections,
 		newReceiver,
 		newLimiter,
 		newReconciler,
--- a/router/storedaemon.go
+++ b/router/storedaemon.go
@@ -69,12 +69,14 @@
 	Publisher  *publisher.Publisher
 	Receiver   *receiver.Receiver
 	Limiter    *limiter.Limiter
-	Proxier    *proxier.Proxier
-	Exchanger  *exchanger.Exchanger
-	Reconciler *reconciler.Reconciler
-	Sharer     *sharer.Sharer
-	Keeper     *quarantiner.Keeper
-	Reporter   *reporter.Reporter
+	// Connections limits the callers' connections.
+	Connections *limiter.Connections
+	Proxier     *proxier.Proxier
+	Exchanger   *exchanger.Exchanger
+	Reconciler  *reconciler.Reconciler
+	Sharer      *sharer.Sharer
+	Keeper      *quarantiner.Keeper
+	Reporter    *reporter.Reporter
 }
 
 // storeDaemon is a running router on a platform that has a store.
@@ -193,7 +195,8 @@
 // open connections are still served.
 func (s *storeDaemon) serveCallers(ctx context.Context) error {
 	server := s.params.Limiter.Server(s.params.Receiver)
-	err := serveHTTP(ctx, server, s.params.Limiter.Listen(s.callers))
+	s.params.Connections.Attach(server)
+	err := serveHTTP(ctx, server, s.params.Limiter.Listen(s.params.Connections.Listen(s.callers)))
 	if !errors.Is(err, net.ErrClosed) || !s.params.Publisher.Stopping() {
 		return err
 	}
