--- a/router/clientlimits_test.go
+++ b/router/clientlimits_test.go
@@ -116,7 +116,7 @@
 	}
 	s.platform = s.start("platform", "standin", "platform", "--listen", freeAddress(t), "--expiry", "2s")
 	s.platform.address = s.platform.cmd.Args[3]
-	s.startService("s1")
+	s.services["s1"] = s.startService("s1")
 	r := &router{
 		caller:   freeAddress(t),
 		operator: freeAddress(t),
--- a/router/loader/loader_test.go
+++ b/router/loader/loader_test.go
@@ -99,6 +99,8 @@
 		"[trace]\nsample = 2.0":                ":2: trace.sample: want 0 to 1",
 		"site = \"\"":                          ":1: site: is missing",
 		"[caller]\nbody-limit = 0":             ":2: caller.body-limit:",
+		"[caller]\nbody-memory = -1":           ":2: caller.body-memory: want 0 or more bytes",
+		"[caller]\nmax-connections = -1":       ":2: caller.max-connections: want 0 or more",
 		"[caller]\nkey = \"x\"":                ":2: caller.key: certificate and key must be set together",
 		"log-format = \"xml\"":                 ":1: log-format: want",
 		"[operator]\nkey-sha256 = \"zz\"":      ":2: operator.key-sha256: want 64 hexadecimal digits in lower case",
@@ -137,3 +139,37 @@
 		}
 	}
 }
+
+// TestLimitsDerivedFromMemory guards against defaults that the smallest machine can't hold, and against
+// settings that are ignored.
+func TestLimitsDerivedFromMemory(t *testing.T) {
+	for _, c := range []struct {
+		settings       loader.Settings
+		bodyMemory     int64
+		maxConnections int
+	}{
+		{bodyMemory: 64 << 20},
+		{settings: loader.Settings{Store: &loader.Store{}}, bodyMemory: 64 << 20},
+		{settings: loader.Settings{Store: &loader.Store{MemoryMB: 184}}, bodyMemory: 23 << 20, maxConnections: 1472},
+		{settings: loader.Settings{Store: &loader.Store{MemoryMB: 16}}, bodyMemory: 2 << 20, maxConnections: 512},
+		{
+			settings: loader.Settings{
+				Caller: loader.Caller{
+					BodyMemory:     5,
+					MaxConnections: 6,
+				},
+				Store: &loader.Store{MemoryMB: 184},
+			},
+			bodyMemory:     5,
+			maxConnections: 6,
+		},
+	} {
+		if got := c.settings.BodyMemory(); got != c.bodyMemory {
+			t.Errorf("%+v: got a body memory of %d bytes, want %d", c.settings, got, c.bodyMemory)
+		}
+		got, err := c.settings.MaxConnections()
+		if err != nil || got < 1 || (c.maxConnections > 0 && got > c.maxConnections) {
+			t.Errorf("%+v: got at most %d connections, error %v, want 1 to %d", c.settings, got, err, c.maxConnections)
+		}
+	}
+}
