--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -81,6 +81,7 @@
 		newQuarantiner,
 		newKeeper,
 		newBodies,
+		newConnections,
 		newReceiver,
 		newLimiter,
 		newReconciler,
