Wait in two tests for what the endpoint or the reader records

TestBodyWithoutBytesTakesNoMemory expected the order in which bytes were sent, but the reader records them after the write has returned. TestOldRefusalTakenForRunningRequest failed in 31 of 1,500 runs on: its endpoint recorded the run after it had written the refusal, so that the caller's error could be checked first. Both check the same as before.

--- a/router/limiter/bodies_test.go
+++ b/router/limiter/bodies_test.go
@@ -52,12 +52,14 @@
 	return u
 }
 
-// send sends n bytes and waits until they are read.
+// send sends n bytes and waits until they are read and recorded.
 func (u *upload) send(t *testing.T, n int) {
 	t.Helper()
 	if _, err := u.writer.Write(bytes.Repeat([]byte{'x'}, n)); err != nil {
 		t.Fatal(err)
 	}
+	// The reader has recorded the bytes when it reads again, unless the body was dropped.
+	_, _ = u.writer.Write(nil)
 }
 
 // end ends the body and requires it to have size bytes.
--- a/router/proxier/refusal_test.go
+++ b/router/proxier/refusal_test.go
@@ -97,8 +97,8 @@
 					succeed(w, id)
 					return
 				}
-				refuse(w, repeated)
 				e.run(id)
+				refuse(w, repeated)
 				succeed(w, id)
 			})
 			f := newFixture(cataloguer.AtMostOnce, false, a.endpoint)
