--- a/router/scheduler/hold.go
+++ b/router/scheduler/reservation.go
@@ -66,7 +66,7 @@
 		if active.stalled || active.since.Add(p.runTime(active.ask)).After(now.Add(d)) {
 			continue
 		}
-		for _, h := range active.holds {
+		for _, h := range active.loads {
 			if r := p.runner(h.stage.EndpointIncarnation); r != nil {
 				r.ReservedTokens -= scale(h.tokens, h.fraction)
 			}
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -90,9 +90,9 @@
 	ask   Ask
 	class *class
 	chain []identifier.Stage
-	// holds are the loads of the stages, some of which another ticket of the same stream may
+	// loads are those of the stages, some of which another ticket of the same stream may
 	// share.
-	holds          []*hold
+	loads          []*stageLoad
 	cost           float64
 	reservedTokens identifier.Tokens
 	since          time.Time
@@ -399,7 +399,7 @@
 		p.takePace(now, chain[0].EndpointIncarnation)
 	}
 	for _, s := range chain {
-		p.hold(now, active, s)
+		p.addStage(now, active, s)
 		p.prefixes.add(w.ask.Prefix, s.EndpointIncarnation, w.ask.Prompt)
 	}
 }
--- a/router/scheduler/stall.go
+++ b/router/scheduler/stall.go
@@ -25,14 +25,14 @@
 		return
 	}
 	active.stalled = false
-	for _, h := range active.holds {
-		p.acquire(h)
+	for _, h := range active.loads {
+		p.countLoad(h)
 	}
 }
 
 // removeLoads removes an active request from the load of its endpoints.
 func (p *Pool) removeLoads(active *activeRequest) {
-	for _, h := range active.holds {
-		p.drop(h)
+	for _, h := range active.loads {
+		p.uncountLoad(h)
 	}
 }
