Queue all moves of a round before the first starts

Cause: each move took its turn as it was queued, so that the first ones ran in the order in which streams were found. With 0.55 of the pause as the expected time of a move, no stream counted as able to be on time before a move was observed.

Change: a round's moves are queued together and then started; the expected time is the share of the reading until a move was observed.

Tests: TestUrgentStreamsMovedLast fails without the change (2 or 3 of 8 urgent streams among the first 12 moves).

--- a/router/mover/mover.go
+++ b/router/mover/mover.go
@@ -7,13 +7,12 @@
 	"time"
 )
 
-// Fractions of the longest pause that the steps of a move may take. They add up to 1.
+// Fractions of the longest pause that the steps of a move may take. The rest, 0.15, is for the
+// ticket and the order, which have time limits of their own.
 const (
 	noticeFraction   = 0.30
 	questionFraction = 0.15
-	// orderFraction is that of the ticket and the order together.
-	orderFraction   = 0.15
-	readingFraction = 0.40
+	readingFraction  = 0.40
 )
 
 const (
@@ -70,7 +69,8 @@
 }
 
 // Expected returns how long the rest of a move takes from the request for a ticket on, as long
-// as none was observed.
+// as none was observed. The ticket and the order usually take a small part of their share; if
+// it counted in full, no stream would be expected to be on time.
 func Expected(longestPause time.Duration) time.Duration {
-	return fraction(longestPause, orderFraction+readingFraction)
+	return Reading(longestPause)
 }
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -278,7 +278,8 @@
 	events := &splitter{reader: bufio.NewReader(a.response)}
 	for {
 		e, err := events.next()
-		a.recordEventTime(time.Now())
+		now := time.Now()
+		a.recordEventTime(now)
 		if errors.Is(err, io.EOF) && a.response.UntilClose && !a.progressed.Load() {
 			err = errNoEvents
 		}
@@ -287,7 +288,7 @@
 			return s.writeEvents(out, a.pending)
 		}
 		if err == nil {
-			a.reportEvent(time.Now())
+			a.reportEvent(now)
 			a.stopSearching()
 			err = a.bufferEvent(e)
 		}
--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -18,12 +18,13 @@
 	errSameEndpoint = errors.New("the only chain is through the same endpoint")
 )
 
-// leave moves an attempt without progress to another chain, or looks for one until there is one.
-func (a *attempt) leave(ctx context.Context, cause *stageError) {
+// leave moves an attempt without progress to another chain in its turn, or looks for one until
+// there is one.
+func (a *attempt) leave(ctx context.Context, cause *stageError, own *turn) {
 	move, stop := context.WithCancel(ctx)
 	defer stop()
 	defer context.AfterFunc(a.ctx, stop)()
-	err := a.moveAround(ctx, move, cause)
+	err := a.moveInTurn(ctx, move, cause, own)
 	if errors.Is(err, errResumed) {
 		a.forgive()
 		return
--- a/router/proxier/move.go
+++ b/router/proxier/move.go
@@ -45,10 +45,13 @@
 	return max(t.Sub(a.lastSign()), 0)
 }
 
-// awaitTurn waits until the attempt may be moved.
-func (a *attempt) awaitTurn(ctx context.Context) (*turn, error) {
+// queueMove adds a move of the attempt; nil if it can't be moved.
+func (a *attempt) queueMove() *turn {
+	if containsAny(a.chain()[:1], a.avoided()) || a.stream.engine.Layers == 0 || a.unanswered() {
+		return nil
+	}
 	job := a.stream.job
-	return a.stream.proxier.turns.wait(ctx, job.Service, mover.Stream{
+	return a.stream.proxier.turns.add(job.Service, mover.Stream{
 		LastEvent:    a.lastSign(),
 		LongestPause: job.Route.Gap,
 		Order:        job.Order,
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -73,15 +73,22 @@
 // errResumed reports a stream that made progress before its turn to be moved.
 var errResumed = errors.New("the stream made progress")
 
-// moveAround makes the first stage continue over a chain without the endpoints that were given
-// up, when it is the attempt's turn. ctx is that of the wait for the new stages, which outlives
-// the search.
+// moveAround queues a move and carries it out.
 func (a *attempt) moveAround(ctx, search context.Context, cause *stageError) error {
-	if containsAny(a.chain()[:1], a.avoided()) || a.stream.engine.Layers == 0 || a.unanswered() {
+	own := a.queueMove()
+	a.stream.proxier.turns.start()
+	return a.moveInTurn(ctx, search, cause, own)
+}
+
+// moveInTurn makes the first stage continue over a chain without the endpoints that were given
+// up, when it is the attempt's turn; own is nil if the attempt can't be moved. ctx is that of the
+// wait for the new stages, which outlives the search.
+func (a *attempt) moveInTurn(ctx, search context.Context, cause *stageError, own *turn) error {
+	if own == nil {
 		return errFirstStage
 	}
 	before := a.lastEventAt.Load()
-	own, err := a.awaitTurn(search)
+	err := own.wait(search)
 	if err != nil {
 		return errors.Wrap(err, "wait for the turn to be moved")
 	}
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -136,6 +136,7 @@
 			question:    answered.Sub(now),
 		})
 	}
+	defer w.proxier.turns.start()
 	if len(failures) > 0 {
 		w.rerouteAround(ctx, failures)
 		return
@@ -385,17 +386,18 @@
 	}
 }
 
-// reroute moves the attempts around the stage that failed, in the background. It starts a
-// search for another run for those that can't be moved now. Attempts with a search are left
-// alone.
+// reroute queues moves of the attempts around the stage that failed; they run in the background.
+// It starts a search for another run for those that can't be moved now. Attempts with a search
+// are left alone.
 func (w *watcher) reroute(ctx context.Context, attempts []*attempt, cause *stageError) {
 	for _, a := range attempts {
 		if !a.searching.CompareAndSwap(false, true) {
 			continue
 		}
+		own := a.queueMove()
 		w.searches.Go(func() error {
 			defer a.searching.Store(false)
-			a.leave(ctx, cause)
+			a.leave(ctx, cause, own)
 			return nil
 		})
 	}
--- a/router/proxier/turns.go
+++ b/router/proxier/turns.go
@@ -30,30 +30,42 @@
 	turns   *turns
 }
 
-// wait waits for the turn of a stream of a service, which the caller must end; s.Expected is set
-// here. It fails if ctx ends first.
-func (t *turns) wait(ctx context.Context, service identifier.Service, s mover.Stream) (*turn, error) {
+// add adds a move of a stream of a service; s.Expected is set here. It starts no earlier than at
+// the next call of start, so that the moves that are added together start in their order.
+func (t *turns) add(service identifier.Service, s mover.Stream) *turn {
 	own := &turn{
 		granted: make(chan struct{}),
 		turns:   t,
 	}
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	s.Expected = t.estimates[service].Value(s.LongestPause)
 	t.queue.Add(s, own)
+	return own
+}
+
+// start starts the moves whose turn it is.
+func (t *turns) start() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.startNext()
-	t.mu.Unlock()
+}
+
+// wait waits until the move may start; it must be ended then. It fails if ctx ends first.
+func (own *turn) wait(ctx context.Context) error {
 	select {
 	case <-own.granted:
-		return own, nil
+		return nil
 	case <-ctx.Done():
 	}
+	t := own.turns
 	t.mu.Lock()
 	waited := t.queue.Remove(own)
 	t.mu.Unlock()
 	if !waited {
 		own.end()
 	}
-	return nil, ctx.Err()
+	return ctx.Err()
 }
 
 // startNext starts the moves whose turn it is; mu is held.
