Do not ask the endpoints of slow streams between any two of their events

A stream counted as stalled after 0.45 of its longest pause at the latest, however slow its own pace. A stream as slow as that can't be moved within its longest pause anyway.

--- a/router/mover/mover.go
+++ b/router/mover/mover.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// maxNoticeFraction limits the notice of a stream with a slow pace. It also applies to a
-	// stream whose pace is not known.
-	maxNoticeFraction = 0.45
+	// unknownNoticeFraction is the notice of a stream whose pace is not known.
+	unknownNoticeFraction = 0.45
 	// paceFactor is the ratio of a stalled stream's time without an event to its mean time
-	// between events.
+	// between events. It also holds for a stream that is too slow to be moved within its
+	// longest pause: its endpoints are not to be asked between any two of its events.
 	paceFactor = 1.5
 	// minNotice is the shortest time without an event that counts as a stall.
 	minNotice = 60 * time.Millisecond
@@ -38,19 +38,18 @@
 // Notice returns the time without an event after which a stream counts as stalled, given the
 // longest pause that its caller accepts.
 func Notice(longestPause time.Duration, p Pace) time.Duration {
-	longest := fraction(longestPause, maxNoticeFraction)
 	mean, known := p.Mean()
 	if !known {
-		return max(longest, minNotice)
+		return max(fraction(longestPause, unknownNoticeFraction), minNotice)
 	}
 	shortest := fraction(longestPause, noticeFraction)
-	return max(min(max(shortest, fraction(mean, paceFactor)), longest), minNotice)
+	return max(shortest, fraction(mean, paceFactor), minNotice)
 }
 
 // FirstNotice returns the time without an event after which a stream that has had none counts
 // as stalled, given the target for its first event.
 func FirstNotice(target time.Duration) time.Duration {
-	return max(fraction(target, maxNoticeFraction), minNotice)
+	return max(fraction(target, unknownNoticeFraction), minNotice)
 }
 
 // Question returns how long to wait for the report of an endpoint that holds up a stream, given
--- a/router/mover/pace.go
+++ b/router/mover/pace.go
@@ -24,7 +24,7 @@
 // Add adds a pause of a stream whose caller accepts the given longest pause. One that counts as
 // a stall at any pace is limited: one stall must not delay the notice of the next.
 func (p *Pace) Add(pause, longestPause time.Duration) {
-	seconds := min(max(pause, 0), fraction(longestPause, maxNoticeFraction)).Seconds()
+	seconds := min(max(pause, 0), fraction(longestPause, unknownNoticeFraction)).Seconds()
 	p.pauses = min(p.pauses+1, minPauses)
 	p.sum = paceDecay*p.sum + seconds
 	p.squares = paceDecay*p.squares + seconds*seconds
