Count only the shared beginning of a prompt as cached

The owner took the whole prompt of the first request with a beginning as cached, so that requests waited behind others for a saving that wasn't there. Entries send prefix_tokens with their asks; without it nothing is expected to be saved, as on our own interface, where the length is not known.

--- a/replayer/simulator/simulator.go
+++ b/replayer/simulator/simulator.go
@@ -253,7 +253,9 @@
 		Prompt:   s.request.Prompt + s.generated,
 		Output:   allowed,
 		Prefix:   s.request.Prefix,
-		Resumed:  s.attempts > 0,
+		// The policy learns the length of the prefix as callers declare it.
+		PrefixTokens: s.request.Prompt * prefixPercent / 100,
+		Resumed:      s.attempts > 0,
 	})
 }
 
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -23,10 +23,12 @@
 		// An estimate over the limit of the response is as good as the limit.
 		OutputHint: identifier.Tokens(max(0, min(a.GetOutputHint(), a.GetOutputTokens()))),
 		Prefix:     a.GetPrefix(),
-		Version:    identifier.Version(a.GetVersion()),
-		Resumed:    a.GetResumed(),
-		Repairs:    identifier.Request(a.GetMoves()),
-		Terms:      rankOf(a.GetTerms()),
+		// Invalid lengths are limited to the prompt's.
+		PrefixTokens: identifier.Tokens(max(0, min(a.GetPrefixTokens(), a.GetPromptTokens()))),
+		Version:      identifier.Version(a.GetVersion()),
+		Resumed:      a.GetResumed(),
+		Repairs:      identifier.Request(a.GetMoves()),
+		Terms:        rankOf(a.GetTerms()),
 	}
 	ask.Promise, _ = PromiseOf(a.GetPromise())
 	if a.GetFree() {
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -274,6 +274,7 @@
 		OutputTokens: max(int64(r.Output)-received, 1),
 		OutputHint:   max(int64(r.OutputHint)-received, 0),
 		Prefix:       xxhash.Sum64String(r.Prefix),
+		PrefixTokens: int64(r.PrefixTokens),
 		DataCentre:   string(s.proxier.DataCentre),
 		Resumed:      s.lastEvent.Load() > r.LastEvent,
 		Terms:        granter.TermsOf(s.job.Rank),
--- a/router/scheduler/ask.go
+++ b/router/scheduler/ask.go
@@ -26,7 +26,10 @@
 	// Prefix identifies the start of the prompt; 0 means that there is no prefix
 	// worth caching.
 	Prefix uint64
-	Avoid  []identifier.EndpointIncarnation
+	// PrefixTokens is the length of that start; 0 if it is not known, and then nothing is
+	// expected to be saved.
+	PrefixTokens identifier.Tokens
+	Avoid        []identifier.EndpointIncarnation
 	// Repairs, if set, is an active request whose chain is to be repaired: the new
 	// chain keeps its first stage and replaces no more stages than necessary.
 	Repairs identifier.Request
--- a/router/scheduler/prefix.go
+++ b/router/scheduler/prefix.go
@@ -37,7 +37,7 @@
 }
 
 func (x *prefixIndex) add(prefix uint64, incarnation identifier.EndpointIncarnation, tokens identifier.Tokens) {
-	if prefix == 0 {
+	if prefix == 0 || tokens <= 0 {
 		return
 	}
 	key := prefixKey{
@@ -78,8 +78,8 @@
 }
 
 // cached returns how many prompt tokens of a request with prefix the endpoint
-// incarnation is assumed to have cached: the length of the first prompt with prefix
-// that ran there.
+// incarnation is assumed to have cached: the length of the prefix as the first request
+// with it that ran there declared it.
 func (x *prefixIndex) cached(prefix uint64, incarnation identifier.EndpointIncarnation) identifier.Tokens {
 	e, ok := x.entries[prefixKey{
 		prefix:      prefix,
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -213,7 +213,7 @@
 
 // plan chooses a chain for a; nil if none is available now.
 func (p *Pool) plan(a Ask) []identifier.Stage {
-	p.setCached(a.Prefix)
+	p.setCached(a.Prefix, a.PrefixTokens)
 	version := p.policy.Version
 	if a.Version != "" {
 		version = a.Version
@@ -232,16 +232,16 @@
 	return chain
 }
 
-// setCached sets how many prompt tokens of a request with the prefix each runner is
-// assumed to have cached.
-func (p *Pool) setCached(prefix uint64) {
+// setCached sets how many prompt tokens of a request with the prefix, which has the given
+// length, each runner is assumed to have cached.
+func (p *Pool) setCached(prefix uint64, tokens identifier.Tokens) {
 	known := p.prefixes.known(prefix)
 	if !known && !p.cachedSet {
 		return
 	}
 	p.cachedSet = known
 	for i := range p.runners {
-		p.runners[i].Cached = p.prefixes.cached(prefix, p.runners[i].EndpointIncarnation)
+		p.runners[i].Cached = min(p.prefixes.cached(prefix, p.runners[i].EndpointIncarnation), tokens)
 	}
 }
 
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -400,7 +400,7 @@
 	}
 	for _, s := range chain {
 		p.hold(now, active, s)
-		p.prefixes.add(w.ask.Prefix, s.EndpointIncarnation, w.ask.Prompt)
+		p.prefixes.add(w.ask.Prefix, s.EndpointIncarnation, w.ask.PrefixTokens)
 	}
 }
 
