Learn whether engines keep the beginnings of prompts

Endpoints counted as holding the newest 64 beginnings permanently, also engines that keep nothing and endpoints whose memory has been read over since. The new package router/prefixer estimates a likelihood from the times to the first event that releases report, the time since the last use and the tokens read since. With engines that keep nothing no saving is expected, but for one request in 50. A frequent beginning is spread: it is to be held at the same share of the endpoints as it has of the requests.

Only requests with a beginning of known length are predicted.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -104,6 +104,9 @@
 	Tokens identifier.Tokens
 	Failed identifier.EndpointIncarnation
 	Gap    time.Duration
+	// FirstEvent is the time from the sending of the request to the first stage until its
+	// first event; zero if there was none.
+	FirstEvent time.Duration
 }
 
 // New returns an acquirer without pools.
@@ -235,6 +238,7 @@
 			Failed:            string(o.Failed.Endpoint),
 			FailedIncarnation: uint64(o.Failed.Incarnation),
 			GapMicros:         o.Gap.Microseconds(),
+			FirstEventMicros:  o.FirstEvent.Microseconds(),
 		})
 	})
 }
--- a/router/acquirer/acquirer_test.go
+++ b/router/acquirer/acquirer_test.go
@@ -173,3 +173,57 @@
 		t.Fatal("the owner got no message")
 	}
 }
+
+// recordingOwner is an owner that grants every ask and records the releases.
+type recordingOwner struct {
+	messenger.DRPCPeerUnimplementedServer
+	releases chan *messenger.Release
+}
+
+// Tickets grants every ask that it receives.
+func (r *recordingOwner) Tickets(s messenger.DRPCPeer_TicketsStream) error {
+	for {
+		m, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		out := &messenger.FromOwner{}
+		for _, a := range m.GetAsks() {
+			out.Grants = append(out.Grants, &messenger.Grant{
+				Request: a.GetRequest(),
+				Chain:   []*messenger.Stage{{Endpoint: "e", Incarnation: 1, To: 1}},
+			})
+		}
+		for _, release := range m.GetReleases() {
+			r.releases <- release
+		}
+		if err := s.Send(out); err != nil {
+			return err
+		}
+	}
+}
+
+// TestOwnerNotToldOfFirstEvent guards against releases without the time to the first event: the
+// owner couldn't learn whether engines keep the beginnings of prompts.
+func TestOwnerNotToldOfFirstEvent(t *testing.T) {
+	owner := &recordingOwner{releases: make(chan *messenger.Release, 1)}
+	a := newEntry(t, serveOwner(t, owner))
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	ticket, err := a.Acquire(ctx, "drafts", &messenger.Ask{Request: "r1.1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ticket.Release(acquirer.Outcome{
+		Tokens:     3,
+		FirstEvent: 1500 * time.Microsecond,
+	})
+	select {
+	case release := <-owner.releases:
+		if got, want := release.GetFirstEventMicros(), int64(1500); got != want {
+			t.Errorf("first event: got %d µs, want %d", got, want)
+		}
+	case <-ctx.Done():
+		t.Fatal("the owner got no release")
+	}
+}
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -110,6 +110,8 @@
 	// runnersSet is set once the scheduler knows the endpoints; no decision is made
 	// before.
 	runnersSet bool
+	// keepsNothing is set while the engines are taken to keep no beginnings of prompts.
+	keepsNothing bool
 }
 
 // Session is one open stream of an entry, local or remote, to a pool.
@@ -388,6 +390,18 @@
 	for session, m := range batches {
 		session.out.Add(m)
 	}
+	g.logKeeping(p)
+}
+
+// logKeeping logs when the engines of a pool are found to keep no beginnings of prompts, or to
+// keep them again.
+func (g *Granter) logKeeping(p *pool) {
+	keeps := p.scheduler.KeepsBeginnings()
+	if keeps != p.keepsNothing {
+		return
+	}
+	p.keepsNothing = !keeps
+	g.Log.WithField("service", p.key.Service).WithField("keeps", keeps).Info("keeping of prompt beginnings learnt")
 }
 
 // Loads returns the number of waiting and running requests in each owned pool.
--- a/router/granter/wire.go
+++ b/router/granter/wire.go
@@ -102,7 +102,8 @@
 			Endpoint:    identifier.Endpoint(r.GetFailed()),
 			Incarnation: identifier.Incarnation(r.GetFailedIncarnation()),
 		},
-		Gap: time.Duration(r.GetGapMicros()) * time.Microsecond,
+		Gap:        time.Duration(r.GetGapMicros()) * time.Microsecond,
+		FirstEvent: time.Duration(max(0, min(r.GetFirstEventMicros(), maxTermDuration.Microseconds()))) * time.Microsecond,
 	}
 }
 
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -33,6 +33,10 @@
 	resumedFrom int64
 	runsBefore  int
 	startedAt   time.Time
+	// sentAt is when the request was sent to the first stage, and firstEvent how long its
+	// first event took from then; 0 if there was none.
+	sentAt     time.Time
+	firstEvent time.Duration
 	// failed is the endpoint incarnation that caused the attempt to fail; zero if
 	// none did.
 	failed identifier.EndpointIncarnation
@@ -161,6 +165,7 @@
 	if s.engine.Layers > 0 {
 		metadata.Chain = chain
 	}
+	a.sentAt = time.Now()
 	response, err := s.proxier.Exchanger.Open(a.ctx, s.proxier.newRequest(s.job, chain[0].Address, s.addSent(chain[0].Address), metadata))
 	if err != nil {
 		a.ran = !errors.Is(err, exchanger.ErrNotSent)
@@ -287,6 +292,7 @@
 			return s.writeEvents(out, a.pending)
 		}
 		if err == nil {
+			a.recordFirstEvent(time.Now())
 			a.reportEvent(time.Now())
 			a.stopSearching()
 			err = a.bufferEvent(e)
@@ -369,7 +375,15 @@
 func (a *attempt) outcome(failed identifier.EndpointIncarnation) acquirer.Outcome {
 	s := a.stream
 	return acquirer.Outcome{
-		Tokens: identifier.Tokens((s.lastEvent.Load() - a.resumedFrom) * int64(s.engine.Stride)),
-		Failed: failed,
+		Tokens:     identifier.Tokens((s.lastEvent.Load() - a.resumedFrom) * int64(s.engine.Stride)),
+		Failed:     failed,
+		FirstEvent: a.firstEvent,
+	}
+}
+
+// recordFirstEvent records when the first event of the attempt was received.
+func (a *attempt) recordFirstEvent(now time.Time) {
+	if a.firstEvent == 0 {
+		a.firstEvent = max(now.Sub(a.sentAt), 1)
 	}
 }
--- a/router/scheduler/decision.go
+++ b/router/scheduler/decision.go
@@ -14,6 +14,9 @@
 	Failed identifier.EndpointIncarnation
 	// Gap is the mean time between tokens; zero if unknown.
 	Gap time.Duration
+	// FirstEvent is the time from the sending of the request to the first stage until its
+	// first event; zero if there was none or it is unknown.
+	FirstEvent time.Duration
 }
 
 // Verdict is the kind of a decision.
--- a/router/scheduler/holders.go
+++ b/router/scheduler/holders.go
@@ -79,6 +79,7 @@
 	active.holds = append(active.holds, h)
 	if reads {
 		p.recordStart(now, s, h.fraction, active)
+		p.prefixes.Read(now, s.EndpointIncarnation, prefixOf(active.ask), h.fraction)
 		return
 	}
 	if r := p.runner(s.EndpointIncarnation); r != nil {
--- a/router/scheduler/late.go
+++ b/router/scheduler/late.go
@@ -91,6 +91,11 @@
 // chainStart returns the predicted time from now to the first token of a on a chain: each
 // stage reads the prompt after those that were assigned to it earlier.
 func (p *Pool) chainStart(a Ask, chain []identifier.Stage) time.Duration {
+	return p.readingTime(a, chain, func(r *planner.Runner) identifier.Tokens { return r.Cached })
+}
+
+// readingTime is chainStart with the given number of prompt tokens that a runner has cached.
+func (p *Pool) readingTime(a Ask, chain []identifier.Stage, cached func(*planner.Runner) identifier.Tokens) time.Duration {
 	d := time.Duration(0)
 	links := observedLinks{pool: p}
 	centre := a.Entry
@@ -99,7 +104,7 @@
 		if r == nil {
 			continue
 		}
-		prompt := max(a.Prompt-r.Cached, 0)
+		prompt := max(a.Prompt-cached(r), 0)
 		d = max(d+links.Delay(centre, r.DataCentre), r.Backlog)
 		d += scale(time.Duration(prompt)*r.PrefillTime+r.TokenTime, p.layerFraction(s))
 		centre = r.DataCentre
--- a/router/scheduler/prefix.go
+++ b/router/scheduler/prefix.go
@@ -1,92 +1,65 @@
 package scheduler
 
 import (
-	"container/list"
+	"time"
 
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/router/planner"
+	"heatherhold.dev/router/prefixer"
 )
 
-// maxPrefixes bounds the number of prefixes that an endpoint is assumed to cache.
-const maxPrefixes = 64
-
-type prefixKey struct {
-	prefix      uint64
-	incarnation identifier.EndpointIncarnation
-}
-
-type prefixEntry struct {
-	key    prefixKey
-	tokens identifier.Tokens
-}
-
-// prefixIndex records which endpoint recently ran which prompt prefix, most recent
-// first for each endpoint.
-type prefixIndex struct {
-	entries map[prefixKey]*list.Element
-	recency map[identifier.EndpointIncarnation]*list.List
-	// holders counts the endpoints of each prefix.
-	holders map[uint64]int
+// prefixOf returns what the index of prompt beginnings needs to know about a.
+func prefixOf(a Ask) prefixer.Request {
+	return prefixer.Request{
+		ID:        a.Request,
+		Beginning: prefixer.Beginning(a.Prefix),
+		Tokens:    a.PrefixTokens,
+		Prompt:    a.Prompt,
+	}
 }
 
-func newPrefixIndex() *prefixIndex {
-	return &prefixIndex{
-		entries: make(map[prefixKey]*list.Element),
-		recency: make(map[identifier.EndpointIncarnation]*list.List),
-		holders: make(map[uint64]int),
+// setCached sets how many prompt tokens of a each runner is expected to have cached.
+func (p *Pool) setCached(a Ask) {
+	for _, i := range p.cached {
+		p.runners[i].Cached = 0
 	}
+	p.cached = p.cached[:0]
+	p.prefixes.Expect(p.cachedAt, prefixOf(a), func(incarnation identifier.EndpointIncarnation, tokens identifier.Tokens) {
+		i, ok := p.runnerIndex[incarnation]
+		if !ok {
+			return
+		}
+		p.runners[i].Cached = tokens
+		p.cached = append(p.cached, i)
+	})
 }
 
-func (x *prefixIndex) add(prefix uint64, incarnation identifier.EndpointIncarnation, tokens identifier.Tokens) {
-	if prefix == 0 || tokens <= 0 {
-		return
-	}
-	key := prefixKey{
-		prefix:      prefix,
-		incarnation: incarnation,
-	}
-	recent, ok := x.recency[incarnation]
-	if !ok {
-		recent = list.New()
-		x.recency[incarnation] = recent
+// predictReading predicts when the first event of a, which starts on a chain now, is due, and
+// what it saves if the beginning of its prompt is still held. Without a beginning of known length
+// the result is zero, as such a request isn't compared with others.
+func (p *Pool) predictReading(now time.Time, a Ask, chain []identifier.Stage) prefixer.Observation {
+	if a.Prefix == 0 || a.PrefixTokens <= 0 {
+		return prefixer.Observation{}
 	}
-	if e, ok := x.entries[key]; ok {
-		recent.MoveToFront(e)
-		return
-	}
-	x.holders[prefix]++
-	x.entries[key] = recent.PushFront(prefixEntry{
-		key:    key,
-		tokens: tokens,
+	request := prefixOf(a)
+	held := false
+	whole := p.readingTime(a, chain, func(r *planner.Runner) identifier.Tokens {
+		held = held || p.prefixes.Remains(now, r.EndpointIncarnation, request) > 0
+		return 0
 	})
-	if recent.Len() > maxPrefixes {
-		oldest := recent.Remove(recent.Back()).(prefixEntry)
-		x.remove(oldest.key)
+	if !held {
+		return prefixer.Observation{Predicted: whole}
 	}
-}
-
-func (x *prefixIndex) remove(key prefixKey) {
-	delete(x.entries, key)
-	x.holders[key.prefix]--
-	if x.holders[key.prefix] <= 0 {
-		delete(x.holders, key.prefix)
+	return prefixer.Observation{
+		Predicted: whole,
+		Saved: whole - p.readingTime(a, chain, func(r *planner.Runner) identifier.Tokens {
+			return p.prefixes.Remains(now, r.EndpointIncarnation, request)
+		}),
 	}
 }
 
-// known reports whether any endpoint is assumed to have a prompt with prefix cached.
-func (x *prefixIndex) known(prefix uint64) bool {
-	return x.holders[prefix] > 0
-}
-
-// cached returns how many prompt tokens of a request with prefix the endpoint
-// incarnation is assumed to have cached: the length of the prefix as the first request
-// with it that ran there declared it.
-func (x *prefixIndex) cached(prefix uint64, incarnation identifier.EndpointIncarnation) identifier.Tokens {
-	e, ok := x.entries[prefixKey{
-		prefix:      prefix,
-		incarnation: incarnation,
-	}]
-	if prefix == 0 || !ok {
-		return 0
-	}
-	return e.Value.(prefixEntry).tokens
+// KeepsBeginnings reports whether the pool's engines are taken to keep the beginnings of prompts.
+func (p *Pool) KeepsBeginnings() bool {
+	p.prepare()
+	return p.prefixes.Keeps()
 }
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -67,9 +67,11 @@
 	p.runners = p.runners[:0]
 	p.runnerStates = p.runnerStates[:0]
 	clear(p.runnerIndex)
+	p.cached = p.cached[:0]
 	for _, r := range reports {
 		s := p.state(r.EndpointIncarnation)
 		s.listed = true
+		p.prefixes.SetMemory(r.EndpointIncarnation, r.MemoryTokens)
 		s.foreignStreams = max(r.Reported-s.load.streams, 0)
 		p.runnerIndex[r.EndpointIncarnation] = len(p.runners)
 		p.runners = append(p.runners, r.Runner)
@@ -79,6 +81,7 @@
 		if !s.listed {
 			s.foreignStreams = 0
 			s.prefillUntil = time.Time{}
+			p.prefixes.Forget(incarnation)
 			p.forget(incarnation)
 		}
 	}
@@ -174,6 +177,7 @@
 // updateLoads sets each runner's load at now. A runner that has just failed counts
 // as full, except for one probe stream after its pause.
 func (p *Pool) updateLoads(now time.Time) {
+	p.cachedAt = now
 	for i, s := range p.runnerStates {
 		r := &p.runners[i]
 		r.Running = s.load.usedSlots() + s.foreignStreams
@@ -213,7 +217,7 @@
 
 // plan chooses a chain for a; nil if none is available now.
 func (p *Pool) plan(a Ask) []identifier.Stage {
-	p.setCached(a.Prefix, a.PrefixTokens)
+	p.setCached(a)
 	version := p.policy.Version
 	if a.Version != "" {
 		version = a.Version
@@ -232,19 +236,6 @@
 	return chain
 }
 
-// setCached sets how many prompt tokens of a request with the prefix, which has the given
-// length, each runner is assumed to have cached.
-func (p *Pool) setCached(prefix uint64, tokens identifier.Tokens) {
-	known := p.prefixes.known(prefix)
-	if !known && !p.cachedSet {
-		return
-	}
-	p.cachedSet = known
-	for i := range p.runners {
-		p.runners[i].Cached = min(p.prefixes.cached(prefix, p.runners[i].EndpointIncarnation), tokens)
-	}
-}
-
 // need returns the requirements of a chain for a.
 func (p *Pool) need(a Ask, version identifier.Version) planner.Need {
 	return planner.Need{
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 	"heatherhold.dev/core/declarer"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/planner"
+	"heatherhold.dev/router/prefixer"
 )
 
 // Policy is the declared configuration of a pool.
@@ -58,15 +59,17 @@
 	// unplaceable is the least size of a request that found no chain in the present
 	// round of decisions.
 	unplaceable identifier.Tokens
-	// cachedSet is set if a runner may have a Cached other than 0.
-	cachedSet bool
+	// cached are the indexes of the runners that have a Cached other than 0, and cachedAt is
+	// the time for which it is set.
+	cached   []int
+	cachedAt time.Time
 
 	classes     map[classKey]*class
 	classOrder  []*class
 	active      map[identifier.Request]*activeRequest
 	waiting     map[identifier.Request]*waitingRequest
 	lengths     *lengths
-	prefixes    *prefixIndex
+	prefixes    *prefixer.Index
 	decisions   []Decision
 	extraDelays map[linkKey]float64
 }
@@ -99,6 +102,9 @@
 	revoked        bool
 	// fromQueue is set if the run began when this pool granted the chain.
 	fromQueue bool
+	// reading is when the first event is expected; zero unless fromQueue is set and the prompt
+	// has a beginning. A moved run isn't compared, because only some stages read its prompt.
+	reading prefixer.Observation
 	// stalled is set while the request makes no progress; its load is not counted.
 	stalled bool
 }
@@ -134,7 +140,7 @@
 	p.waiting = make(map[identifier.Request]*waitingRequest)
 	p.lengths = newLengths()
 	p.extraDelays = make(map[linkKey]float64)
-	p.prefixes = newPrefixIndex()
+	p.prefixes = prefixer.New()
 }
 
 // Configure applies a policy; queues and accounts are kept. Requests of a rank that
@@ -246,6 +252,8 @@
 		p.removeLoads(active)
 	}
 	p.recordOutcome(now, active, o)
+	active.reading.FirstEvent = o.FirstEvent
+	p.prefixes.Observe(active.reading)
 	used := float64(active.ask.Prompt)*promptTokenCost + float64(o.Tokens)
 	active.class.charge(active.ask.Customer, active.ask.Weight, used-active.cost)
 	active.class.addRecent(now, used-active.cost)
@@ -398,9 +406,12 @@
 	if w.ask.Repairs == "" {
 		p.takePace(now, chain[0].EndpointIncarnation)
 	}
+	if active.fromQueue {
+		active.reading = p.predictReading(now, w.ask, chain)
+		p.prefixes.Count(prefixOf(w.ask))
+	}
 	for _, s := range chain {
 		p.hold(now, active, s)
-		p.prefixes.add(w.ask.Prefix, s.EndpointIncarnation, w.ask.PrefixTokens)
 	}
 }
 
