Charge each shared retry once, and mend what a review of the parts found

A retry out of the owner's budget was charged for each ticket that the entry gave back on the way, and a charge was lost when its request was cancelled, refused or had no other chain: streams without another chain could drain the budget of a pool without one retry. Charges are now returned, asks sent twice are charged once, and an empty budget is told from other refusals, so that a stream can still be moved by order.

Also: an owner without a list answers only no-chain refusals as unknown, so that no request is dropped unanswered; a full queue makes room only for a request that is admitted; a resumed request preempts after the wait of its rank and not at once; a load that two tickets share ends once; a later silence doesn't count as the time of a move; a grant without a chain is cancelled at the owner.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/classifier"
@@ -107,8 +108,13 @@
 	// FirstEvent is the time from the sending of the request to the first stage until its
 	// first event; zero if there was none.
 	FirstEvent time.Duration
+	// RetryUnused is set if the ticket includes a retry that was not made.
+	RetryUnused bool
 }
 
+// ErrNoRetryLeft means that the owner's budget has no retry left for a request that wanted one.
+var ErrNoRetryLeft = errors.New("no retry is left")
+
 // New returns an acquirer without pools.
 func New() *Acquirer {
 	return &Acquirer{
@@ -239,6 +245,7 @@
 			FailedIncarnation: uint64(o.Failed.Incarnation),
 			GapMicros:         o.Gap.Microseconds(),
 			FirstEventMicros:  o.FirstEvent.Microseconds(),
+			RetryUnused:       o.RetryUnused && t.Retry,
 		})
 	})
 }
@@ -351,6 +358,7 @@
 	}
 	delete(p.waiting, request)
 	if len(g.GetChain()) == 0 {
+		p.out.Add(func(m *messenger.ToOwner) { m.Cancels = append(m.Cancels, string(request)) })
 		w.result <- result{err: &classifier.Error{
 			Kind:    classifier.NoChain,
 			Detail:  "the pool's owner granted no endpoint",
@@ -376,11 +384,15 @@
 		return
 	}
 	delete(p.waiting, request)
+	cause := errors.New("refused")
+	if r.GetRetry() {
+		cause = ErrNoRetryLeft
+	}
 	w.result <- result{err: &classifier.Error{
 		Kind:       kindOf(r),
 		Detail:     r.GetDetail(),
 		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
-		Wrapped:    errors.Errorf("decided by %s at revision %d and version %d of the list in era %d as %s", p.owner, r.GetRevision(), list.Version, list.Era, r.GetKind()),
+		Wrapped:    errors.Wrapf(cause, "decided by %s at revision %d and version %d of the list in era %d as %s", p.owner, r.GetRevision(), list.Version, list.Era, r.GetKind()),
 	}}
 }
 
@@ -403,6 +415,7 @@
 	p.out.Drain()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	sameOwner := p.owner == owner
 	p.owner = owner
 	m.AddDepartures(time.Now(), a.Publisher.View().Departures)
 	for incarnation, l := range p.limits {
@@ -410,7 +423,13 @@
 	}
 	for _, w := range p.waiting {
 		w.unknown = false
-		m.Asks = append(m.Asks, agedAsk(w.ask, time.Since(w.askedAt)))
+		ask := agedAsk(w.ask, time.Since(w.askedAt))
+		if sameOwner && ask.GetFirst() {
+			// The owner has counted the request already.
+			ask = proto.CloneOf(ask)
+			ask.First = false
+		}
+		m.Asks = append(m.Asks, ask)
 	}
 	a.stateList(m)
 	for _, t := range p.tickets {
--- a/router/acquirer/unknown.go
+++ b/router/acquirer/unknown.go
@@ -68,9 +68,9 @@
 	switch {
 	case ask.GetResumed():
 		return 0, false
-	case ask.GetPromise().GetPatienceMs() > 0:
+	case ask.GetPromise() != nil && ask.GetPromise().PatienceMs != nil:
 		// A refusal that arrives before the caller leaves can still tell it when to return.
-		return scalePatience(ask.GetPromise().GetPatienceMs()), true
+		return scalePatience(max(ask.GetPromise().GetPatienceMs(), 0)), true
 	case ask.GetPromise().GetRemainingMs() > 0:
 		return time.Duration(ask.GetPromise().GetRemainingMs()) * time.Millisecond, true
 	case ask.GetTerms().GetMaxWaitMs() > 0:
--- a/router/budgeter/budgeter.go
+++ b/router/budgeter/budgeter.go
@@ -48,6 +48,19 @@
 	return true
 }
 
+// Return gives back a retry that was taken and not made.
+func (b *Budget) Return(now time.Time) {
+	if !b.advance(now) {
+		return
+	}
+	for age := range int64(buckets + 1) {
+		if i := b.current - age; i >= 0 && b.retries[i%(buckets+1)] > 0 {
+			b.retries[i%(buckets+1)]--
+			return
+		}
+	}
+}
+
 // Remaining returns the number of retries that are left.
 func (b *Budget) Remaining(now time.Time) float64 {
 	if !b.advance(now) {
--- a/router/estimator/estimator.go
+++ b/router/estimator/estimator.go
@@ -57,7 +57,7 @@
 
 // memoryShare is the share of the available memory that is given out to requests, each with
 // its mean use. The rest is for responses that become longer than predicted: an endpoint
-// whose memory runs out preempts the newest request, which has to be read again.
+// whose memory runs out preempts the newest request, whose prompt must then be processed again.
 const memoryShare = 0.97
 
 // Slots returns how many requests of the usual size fit at once into the memory of
--- a/router/granter/granter.go
+++ b/router/granter/granter.go
@@ -101,8 +101,8 @@
 	expiries map[identifier.Request]time.Time
 	sessions map[*Session]bool
 	states   map[identifier.EndpointIncarnation]endpointState
-	// budget is the retry budget that the entries share, and paid has the requests without
-	// a ticket for whose retries it was charged.
+	// budget is the retry budget that the entries share, and paid has the requests, waiting
+	// or with a ticket, for whose retries it was charged.
 	budget *budgeter.Budget
 	paid   map[identifier.Request]bool
 	// decidedAt is when the last round of decisions was made.
@@ -253,10 +253,14 @@
 		g.Log.WithField("peer", session.entry).WithField("tickets", withoutChain).Warn("tickets without a chain reported by an instance set aside")
 	}
 	for _, r := range m.GetReleases() {
+		if r.GetRetryUnused() {
+			p.returnRetry(now, identifier.Request(r.GetRequest()))
+		}
 		p.dropRequest(identifier.Request(r.GetRequest()))
 		p.scheduler.Release(now, identifier.Request(r.GetRequest()), outcomeOf(r))
 	}
 	for _, r := range m.GetCancels() {
+		p.returnRetry(now, identifier.Request(r))
 		p.dropRequest(identifier.Request(r))
 		p.scheduler.Cancel(now, identifier.Request(r))
 	}
@@ -324,11 +328,11 @@
 			continue
 		}
 		delete(p.sessionByRequest, r)
-		delete(p.paid, r)
 		if p.scheduler.Holds(r) {
 			p.expiries[r] = now.Add(g.Lease)
 			continue
 		}
+		p.returnRetry(now, r)
 		p.scheduler.Cancel(now, r)
 	}
 	if len(p.sessions) == 0 && len(p.expiries) == 0 {
@@ -381,9 +385,9 @@
 		addDecision(m, d, p.revision())
 		if d.Verdict == scheduler.Granted && p.paid[d.Request] {
 			m.Grants[len(m.Grants)-1].Retry = true
-			delete(p.paid, d.Request)
 		}
 		if d.Verdict == scheduler.Refused {
+			p.returnRetry(now, d.Request)
 			p.dropRequest(d.Request)
 		}
 	}
--- a/router/granter/retries.go
+++ b/router/granter/retries.go
@@ -18,15 +18,16 @@
 func (g *Granter) admitRetry(now time.Time, session *Session, a *messenger.Ask) bool {
 	p := session.pool
 	request := identifier.Request(a.GetRequest())
+	if p.scheduler.Holds(request) || p.paid[request] {
+		// The ask was sent twice.
+		return true
+	}
 	if !a.GetRetry() {
 		if a.GetFirst() {
 			p.budget.Request(now)
 		}
 		return true
 	}
-	if p.paid[request] {
-		return true
-	}
 	granted := p.budget.Take(now)
 	if g.OnRetry != nil {
 		g.OnRetry(p.key.Service, granted)
@@ -44,6 +45,15 @@
 		Detail:     "no retry is left in the budget that all instances share",
 		RetryAfter: retryWait,
 	}, p.revision())
+	m.Refusals[0].Retry = true
 	session.out.Add(m)
 	return false
 }
+
+// returnRetry gives back the retry that the budget has paid for a request, if it did.
+func (p *pool) returnRetry(now time.Time, r identifier.Request) {
+	if p.paid[r] {
+		delete(p.paid, r)
+		p.budget.Return(now)
+	}
+}
--- a/router/granter/retries_test.go
+++ b/router/granter/retries_test.go
@@ -69,3 +69,41 @@
 		Retry:        retry,
 	}
 }
+
+// TestUnusedRetryLost guards against retries of the shared budget that are lost because the
+// request that wanted one was cancelled, or gave its ticket back unused, and against one that
+// is charged twice because its ask was sent twice.
+func TestUnusedRetryLost(t *testing.T) {
+	o := newOwner(t)
+	o.granter.Retries = budgeter.Limits{
+		Ratio:  1,
+		Window: 10 * time.Second,
+	}
+	o.configure(1, urgent)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	stream, err := o.granter.Open(ctx, granter.Key{Service: service})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	stream.Send(&messenger.ToOwner{Asks: []*messenger.Ask{ask("r1.1", true, false)}})
+	awaitDecisions(t, stream, 1)
+	// One request adds one retry, which is returned each time.
+	for i := range 5 {
+		request := fmt.Sprintf("r1.%d", i+2)
+		stream.Send(&messenger.ToOwner{Asks: []*messenger.Ask{ask(request, false, true), ask(request, false, true)}})
+		grants, refusals := awaitDecisions(t, stream, 1)
+		if len(grants) == 0 {
+			t.Fatalf("retry %d: got refusals %v, want a grant", i, refusals)
+		}
+		m := &messenger.ToOwner{Cancels: []string{request}}
+		if i%2 == 0 {
+			m = &messenger.ToOwner{Releases: []*messenger.Release{{
+				Request:     request,
+				RetryUnused: true,
+			}}}
+		}
+		stream.Send(m)
+	}
+}
--- a/router/granter/unknown.go
+++ b/router/granter/unknown.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/core/messenger"
 	"heatherhold.dev/router/publisher"
@@ -74,7 +75,7 @@
 // entry has a list and the owner can't decide. An entry that states no list gets the refusal: it
 // has none either, or is of a build that does not read unknown answers.
 func (g *Granter) refusesUninformed(session *Session, d scheduler.Decision) bool {
-	return d.Verdict == scheduler.Refused && session.list != (identifier.Position{}) && g.uninformed(session)
+	return d.Verdict == scheduler.Refused && d.Kind == classifier.NoChain && session.list != (identifier.Position{}) && g.uninformed(session)
 }
 
 // recordUnknown counts requests that are answered as unknown, and logs them at most once in
@@ -96,5 +97,5 @@
 	if g.ListAge != nil {
 		log = log.WithField("list-age-ms", g.ListAge().Milliseconds())
 	}
-	log.Warn("no decision on requests: the list of endpoints is missing or older than the entry's, and covers not every layer")
+	log.Warn("no decision on requests: the list of endpoints is missing or older than the entry's, and does not cover every layer")
 }
--- a/router/proxier/departed.go
+++ b/router/proxier/departed.go
@@ -30,8 +30,10 @@
 // request for a chain.
 func (s *stream) acquireListed(ctx context.Context, avoid []identifier.EndpointIncarnation, held []identifier.Stage, newAsk func() *messenger.Ask) (*acquirer.Ticket, error) {
 	avoid = slices.Clone(avoid)
+	paid := false
 	for range maxOutdatedTickets {
 		ask := newAsk()
+		ask.Retry = ask.GetRetry() && !paid
 		for _, incarnation := range avoid {
 			ask.Avoid = append(ask.Avoid, markOf(incarnation))
 		}
@@ -39,6 +41,12 @@
 		if err != nil {
 			return nil, err
 		}
+		if ask.GetRetry() {
+			if err := s.checkRetry(ticket); err != nil {
+				return nil, err
+			}
+			paid = true
+		}
 		left := s.proxier.left(time.Now(), ticket, held)
 		if len(left) == 0 {
 			return ticket, nil
--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -12,8 +12,8 @@
 )
 
 var (
-	// errNoRetryLeft reports that the retry budget of the service is used up.
-	errNoRetryLeft = errors.New("no retry is left")
+	// errNoRetryLeft reports that the retry budgets of the service are used up.
+	errNoRetryLeft = acquirer.ErrNoRetryLeft
 	// errSameEndpoint reports a chain through the endpoint that is to be avoided.
 	errSameEndpoint = errors.New("the only chain is through the same endpoint")
 )
@@ -139,7 +139,7 @@
 		return nil, err
 	}
 	if err := s.checkSuccessor(ticket, pass, shared, avoid); err != nil {
-		ticket.Release(acquirer.Outcome{})
+		ticket.Release(acquirer.Outcome{RetryUnused: true})
 		pass.End()
 		return nil, err
 	}
--- a/router/proxier/move.go
+++ b/router/proxier/move.go
@@ -85,7 +85,8 @@
 		defer m.turn.end()
 		at, ok := a.nextEvent(ctx, m)
 		if ok && at.After(m.orderedAt) {
-			x.turns.observe(a.stream.job.Service, at.Sub(m.startedAt))
+			// A later silence of the new chain says nothing about how long moves take.
+			x.turns.observe(a.stream.job.Service, min(at.Sub(m.startedAt), a.stream.job.Route.Gap))
 		}
 		if m.chain != nil {
 			a.reportMove(m, at, ok)
--- a/router/proxier/retries.go
+++ b/router/proxier/retries.go
@@ -99,12 +99,9 @@
 	return !s.sharedRetry || s.proxier.Retries.OwnerShare > 0
 }
 
-// checkShared returns errNoRetryLeft, and gives the ticket back, if it was to include a
-// retry out of the owner's budget and does not, since the owner is of an older build.
-func (s *stream) checkShared(ticket *acquirer.Ticket, shared bool) error {
-	if !shared {
-		return nil
-	}
+// checkRetry returns errNoRetryLeft, and gives the ticket back, if a ticket for a retry out of the
+// owner's budget does not include one: the owner is of an older build.
+func (s *stream) checkRetry(ticket *acquirer.Ticket) error {
 	if !ticket.Retry {
 		ticket.Release(acquirer.Outcome{})
 		return errNoRetryLeft
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -245,9 +245,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := s.checkShared(ticket, shared); err != nil {
-			return nil, err
-		}
+		// The retry is paid for, also if it needs another chain.
+		shared = false
 		until, paused := s.proxier.Balancer.Paused(time.Now())[ticket.Chain[0].EndpointIncarnation]
 		if !paused {
 			return ticket, nil
--- a/router/scheduler/late.go
+++ b/router/scheduler/late.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// startMargin is the share of the time to the first token that is left for what the
-	// prediction doesn't include: the way to the first stage and back. In a full queue the
-	// requests that are served are those that are about to be late. With a margin of 0.1,
-	// 80 ms more than predicted made three in ten of those late (target 500 ms).
+	// startMargin is the fraction of the time to the first token that is reserved for what the
+	// prediction omits, mainly the network delay to the first stage and back. In a full queue
+	// requests start close to their due time, so that a margin that is too small makes many
+	// of them late.
 	startMargin = 0.2
 	// minPromisedWait is how long a request waits at least, so that one that a free chain
 	// can serve is tried before it is refused by a prediction.
--- a/router/scheduler/promise.go
+++ b/router/scheduler/promise.go
@@ -66,9 +66,12 @@
 	limit := c.rank.MaxWait.Std()
 	interval := c.rank.BetweenTokens.Std()
 	if a.Promise != nil {
-		limit = waitFactor * max(a.Promise.FirstToken, 0)
 		interval = a.Promise.BetweenTokens
 	}
+	// The first token of a resumed request is past due: its wait has the limit of its rank.
+	if a.Promise != nil && !a.Resumed {
+		limit = waitFactor * max(a.Promise.FirstToken, 0)
+	}
 	return targets{
 		fasterChainWait: scale(limit, targetWaitFraction),
 		preemptWait:     scale(limit, preemptWaitFraction),
--- a/router/scheduler/reservation.go
+++ b/router/scheduler/reservation.go
@@ -62,11 +62,16 @@
 // nothing else starts until then: if not, it would hold back others in vain.
 func (p *Pool) fitsAfter(now time.Time, a Ask, d time.Duration) bool {
 	defer p.updateLoads(now)
+	ended := make(map[*stageLoad]int)
 	for _, active := range p.active {
 		if active.stalled || active.since.Add(p.runTime(active.ask)).After(now.Add(d)) {
 			continue
 		}
 		for _, h := range active.loads {
+			// A load that two tickets share ends with the last of them.
+			if ended[h]++; ended[h] < h.tickets {
+				continue
+			}
 			if r := p.runner(h.stage.EndpointIncarnation); r != nil {
 				r.ReservedTokens -= scale(h.tokens, h.fraction)
 			}
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -200,15 +200,17 @@
 // expected to start in time. It reports whether the request may be queued.
 func (p *Pool) admit(now time.Time, c *class, w *waitingRequest) bool {
 	longest := w.deadline.Sub(w.since)
-	if limit := c.rank.QueueLimit; c.queueLength(w.ask.Customer) >= limit && !p.makeRoom(now, c, w) {
-		p.refuse(w.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", limit), p.retryAfter(now, c, w, longest))
-		return false
-	}
+	limit := c.rank.QueueLimit
+	full := c.queueLength(w.ask.Customer) >= limit
 	wait := p.estimateWait(now, c, w)
-	if wait > longest {
+	if wait > longest && !full {
 		p.refuse(w.ask.Request, classifier.Overloaded, p.tooLongDetail(wait, longest), p.retryAfter(now, c, w, wait-longest))
 		return false
 	}
+	if full && (wait > longest || !p.makeRoom(now, c, w)) {
+		p.refuse(w.ask.Request, classifier.Overloaded, fmt.Sprintf("the customer's queue for this rank is full with %d requests", limit), p.retryAfter(now, c, w, longest))
+		return false
+	}
 	return true
 }
 
