Count only events with an id as the first event of a stream

A comment that keeps a connection open is an event without an id; counted as the first event it would show savings that weren't there. The clock is no longer read once more for each event without an id.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -292,7 +292,6 @@
 			return s.writeEvents(out, a.pending)
 		}
 		if err == nil {
-			a.recordFirstEvent(time.Now())
 			a.reportEvent(time.Now())
 			a.stopSearching()
 			err = a.bufferEvent(e)
@@ -305,6 +304,7 @@
 		if e.id == 0 {
 			continue
 		}
+		a.recordFirstEvent()
 		if err := a.forwardEvent(out, e); err != nil {
 			a.response.Discard()
 			return err
@@ -381,9 +381,10 @@
 	}
 }
 
-// recordFirstEvent records when the first event of the attempt was received.
-func (a *attempt) recordFirstEvent(now time.Time) {
+// recordFirstEvent records when the first event of the attempt was received; one without an id may
+// only keep the connection open and doesn't count.
+func (a *attempt) recordFirstEvent() {
 	if a.firstEvent == 0 {
-		a.firstEvent = max(now.Sub(a.sentAt), 1)
+		a.firstEvent = max(time.Since(a.sentAt), 1)
 	}
 }
--- a/router/proxier/firstevent_test.go
+++ b/router/proxier/firstevent_test.go
@@ -96,13 +96,14 @@
 }
 
 // TestTimeToFirstEventOfRelease guards against a release without the time to the first event, or
-// with the time until the answer's header: the owner learns from it whether engines keep the
+// with the time until the answer's header or a comment that keeps the connection open: the owner learns from it whether engines keep the
 // beginnings of prompts.
 func TestTimeToFirstEventOfRelease(t *testing.T) {
 	const header, reading = 50 * time.Millisecond, 60 * time.Millisecond
 	e := newEndpoint(t, "a", func(_ int, w io.Writer) {
 		time.Sleep(header)
 		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		writeChunk(w, ": kept open\n\n")
 		time.Sleep(reading)
 		writeChunk(w, "id: 1\n\n")
 		fmt.Fprint(w, "0\r\n\r\n")
