--- a/router/proxier/lostruns.go
+++ b/router/proxier/lostruns.go
@@ -67,10 +67,10 @@
 	return due
 }
 
-// checkLostRuns records the crashes of endpoints after they lost the connection of a run.
-func (x *Proxier) checkLostRuns(ctx context.Context, now time.Time) {
+// checkLostRuns records the crashes of the endpoints that lost the connections of runs.
+func (x *Proxier) checkLostRuns(ctx context.Context, runs []lostRun) {
 	var group errgroup.Group
-	for _, r := range x.lostRuns.takeDue(now) {
+	for _, r := range runs {
 		group.Go(func() error {
 			if x.reports.crashed(r.incarnation, func() bool { return x.refuses(ctx, r.address) }) {
 				x.Quarantiner.RecordCrash(time.Now(), r.incarnation, r.keys)
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -57,10 +57,12 @@
 			return nil
 		case now := <-t.C:
 			w.check(ctx, now)
-			w.searches.Go(func() error {
-				x.checkLostRuns(ctx, now)
-				return nil
-			})
+			if due := x.lostRuns.takeDue(now); len(due) > 0 {
+				w.searches.Go(func() error {
+					x.checkLostRuns(ctx, due)
+					return nil
+				})
+			}
 		case <-cleanup.C:
 			x.Balancer.Keep(x.Publisher.View().Incarnations())
 		}
