Let the cancelled questions of a read end before the test's next one

TestPeersWithoutCopyHoldStartUp failed in 5 of 40 runs: it counts the questions that are open at the same time over twenty reads, and a read ends with the first copy, while its other questions, cancelled, have not returned yet. Each read still asks three instances at a time at most; 60 of 60 runs pass.

--- a/router/sharer/first_test.go
+++ b/router/sharer/first_test.go
@@ -301,6 +301,8 @@
 			if got, most := time.Since(began), 1200*time.Millisecond; got > most {
 				t.Errorf("time until the list: got %v, want at most %v", got, most)
 			}
+			// The questions that the first copy made needless have been cancelled and end now.
+			synctest.Wait()
 		}
 		if got, most := network.mostOpen, 3; got > most {
 			t.Errorf("instances asked at the same time: got %d, want at most %d", got, most)
