Count a request as new once at its owner; read a queue in a loop

An entry that scheduled alone for half a second told the same owner of all its waiting requests as new ones again, and each adds to the retries that all instances may make: TestRequestCountedTwice failed without the change (the second ask counted as new). grantFrom called itself for each round of late requests, as deep as the queue is long; it is a loop now. Reasons for closing a connection are named for what they are, and two texts say in plain words what they return.

--- a/router/acquirer/acquirer.go
+++ b/router/acquirer/acquirer.go
@@ -73,6 +73,8 @@
 	// says so.
 	unknown bool
 	told    chan struct{}
+	// countedBy is the owner that was last told of the request as a new one.
+	countedBy identifier.Instance
 }
 
 type result struct {
@@ -173,6 +175,7 @@
 	request := identifier.Request(ask.GetRequest())
 	p.mu.Lock()
 	p.waiting[request] = w
+	w.countedBy = p.owner
 	p.mu.Unlock()
 	p.out.Add(func(m *messenger.ToOwner) { m.Asks = append(m.Asks, agedAsk(ask, time.Since(w.askedAt))) })
 	got, err := a.await(ctx, p, w)
@@ -408,14 +411,14 @@
 }
 
 // fillFirst fills the first message to a new owner with all waiting requests, all tickets in
-// use and the endpoints that are known to have left: an owner that was away may not know it.
-func (a *Acquirer) fillFirst(p *pool, owner identifier.Instance, m *messenger.ToOwner) {
+// use and the endpoints that are known to have left: an owner that was away may not know it. If
+// alone is set, this instance schedules alone, and no request counts as a new one at an owner.
+func (a *Acquirer) fillFirst(p *pool, owner identifier.Instance, alone bool, m *messenger.ToOwner) {
 	// The messages queued for the old owner can be dropped: the asks are contained
 	// in the state below, and the new owner does not need the releases and cancels.
 	p.out.Drain()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	sameOwner := p.owner == owner
 	p.owner = owner
 	m.AddDepartures(time.Now(), a.Publisher.View().Departures)
 	for incarnation, l := range p.limits {
@@ -424,10 +427,12 @@
 	for _, w := range p.waiting {
 		w.unknown = false
 		ask := agedAsk(w.ask, time.Since(w.askedAt))
-		if sameOwner && ask.GetFirst() {
-			// The owner has counted the request already.
-			ask = proto.CloneOf(ask)
-			ask.First = false
+		if ask.GetFirst() && !alone {
+			if w.countedBy == owner {
+				ask = proto.CloneOf(ask)
+				ask.First = false
+			}
+			w.countedBy = owner
 		}
 		m.Asks = append(m.Asks, ask)
 	}
--- a/router/acquirer/promise_test.go
+++ b/router/acquirer/promise_test.go
@@ -80,3 +80,22 @@
 		})
 	}
 }
+
+// TestRequestCountedTwice guards against a request that counts as a new one at its owner each
+// time that it is sent again, which raises the retries that all instances may make.
+func TestRequestCountedTwice(t *testing.T) {
+	owner := &breakingOwner{asks: make(chan *messenger.Ask, 10)}
+	a := newEntry(t, serveOwner(t, owner))
+	run(t, func(ctx context.Context) error {
+		// The request ends with the test.
+		_, _ = a.Acquire(ctx, "drafts", &messenger.Ask{
+			Request: "r1.1",
+			First:   true,
+		})
+		return nil
+	})
+	first, second, third := <-owner.asks, <-owner.asks, <-owner.asks
+	if !first.GetFirst() || second.GetFirst() || third.GetFirst() {
+		t.Errorf("new request: got %v, %v and %v, want true, false and false", first.GetFirst(), second.GetFirst(), third.GetFirst())
+	}
+}
--- a/router/acquirer/stream.go
+++ b/router/acquirer/stream.go
@@ -93,7 +93,7 @@
 	}
 	defer stream.Close()
 	first := &messenger.ToOwner{Instance: string(a.Self)}
-	a.fillFirst(p, a.Self, first)
+	a.fillFirst(p, a.Self, key.Standalone, first)
 	stream.Send(first)
 	ticker := time.NewTicker(a.InactivityTimeout / heartbeatsPerLimit)
 	defer ticker.Stop()
@@ -178,7 +178,7 @@
 		Instance: string(a.Self),
 		Pool:     string(p.service),
 	}
-	a.fillFirst(p, owner, first)
+	a.fillFirst(p, owner, false, first)
 	if err := stream.Send(first); err != nil {
 		return errors.Wrap(err, "send")
 	}
--- a/router/limiter/conn.go
+++ b/router/limiter/conn.go
@@ -241,10 +241,9 @@
 	return c.Conn
 }
 
-// reason returns why a request ended before a handler ran: "connections" if too many
-// were open, how the connection failed,
-// the status that net/http responded with, or "stopping" if the server closed the
-// connection without a response.
+// reason returns why a request ended before a handler ran: "connections" if too many were open,
+// how the connection failed, the status that net/http responded with, or "stopping" if the
+// server closed the connection without a response.
 func (c *conn) reason() string {
 	own := counted(c)
 	switch {
--- a/router/limiter/connections.go
+++ b/router/limiter/connections.go
@@ -28,9 +28,13 @@
 	connStates
 )
 
-// dropReasons are the reasons for which connections in each state are closed. One that is being served
-// is never closed; the new one is instead.
-var dropReasons = [connStates]string{"idle", "header", "new"}
+// The reasons for which a connection is closed over the limit: it is idle, its header is arriving, or
+// it is new and all others are being served.
+const (
+	dropIdle   = "idle"
+	dropHeader = "header"
+	dropNew    = "new"
+)
 
 // Connections limits the number of open connections. Over the limit, it closes the connection that has
 // been idle longest; if none is idle, the one whose header has been arriving longest; and if there is
@@ -145,7 +149,7 @@
 	defer x.mu.Unlock()
 	if x.Max > 0 && x.lenLocked() >= x.Max && !x.makeRoom() {
 		out.since = time.Now()
-		x.report(out, connServing)
+		x.report(out, dropNew)
 		// The caller is closed out in any case; an error changes nothing.
 		_ = c.Close()
 		return nil
@@ -156,7 +160,7 @@
 
 // makeRoom closes a connection that is not being served. It returns false if there is none.
 func (x *Connections) makeRoom() bool {
-	for _, state := range []connState{connIdle, connReceiving} {
+	for state, reason := range []string{connIdle: dropIdle, connReceiving: dropHeader} {
 		first := x.open[state].Front()
 		if first == nil {
 			continue
@@ -165,7 +169,7 @@
 		x.open[state].Remove(first)
 		c.element = nil
 		c.dropped.Store(true)
-		x.report(c, state)
+		x.report(c, reason)
 		// net/http sees the closed connection at its next read; an error changes nothing.
 		_ = c.Conn.Close()
 		return true
@@ -173,8 +177,7 @@
 	return false
 }
 
-func (x *Connections) report(c *countedConn, state connState) {
-	reason := dropReasons[state]
+func (x *Connections) report(c *countedConn, reason string) {
 	x.Reporter.CountConnectionDropped(reason)
 	if !x.logLimiter.Allow() {
 		return
--- a/router/scheduler/late.go
+++ b/router/scheduler/late.go
@@ -34,8 +34,8 @@
 	ratio float64
 }
 
-// update calculates the pace anew; the observed ratio stays, and all of it while there is a
-// layer that no runner holds.
+// update recalculates the times. The observed ratio is kept; while some layer has no runner, the
+// times are kept as well.
 func (x *pace) update(policy *Policy, runners []planner.Runner) {
 	token, prompt := planner.Pace(runners, policy.Layers, policy.Version)
 	if token > 0 {
@@ -85,7 +85,13 @@
 	if a.Promise == nil || a.Resumed {
 		return time.Time{}
 	}
-	return now.Add(scale(a.Promise.FirstToken, 1-startMargin) - p.pace.start(a))
+	return now.Add(dueAfter(a) - p.pace.start(a))
+}
+
+// dueAfter returns how long after its arrival a request with a promise is to have its first
+// token, less the margin.
+func dueAfter(a Ask) time.Duration {
+	return scale(a.Promise.FirstToken, 1-startMargin)
 }
 
 // chainStart returns the predicted time from now to the first token of a on a chain: each
@@ -117,8 +123,7 @@
 	if w.late || w.lateAt.IsZero() {
 		return false
 	}
-	due := w.since.Add(scale(w.ask.Promise.FirstToken, 1-startMargin))
-	return now.Add(p.chainStart(w.ask, chain)).After(due)
+	return now.Add(p.chainStart(w.ask, chain)).After(w.since.Add(dueAfter(w.ask)))
 }
 
 // markLate moves w behind the requests of its class that can be on time.
@@ -208,10 +213,10 @@
 )
 
 // retryAfter returns when the caller of a refused request should return: when the work ahead
-// of it is expected to be done. Without a promise that is otherwise.
-func (p *Pool) retryAfter(now time.Time, c *class, w *waitingRequest, otherwise time.Duration) time.Duration {
+// of it is expected to be done, or fallback for a request without a promise.
+func (p *Pool) retryAfter(now time.Time, c *class, w *waitingRequest, fallback time.Duration) time.Duration {
 	if w.ask.Promise == nil {
-		return otherwise
+		return fallback
 	}
 	after := unknownRetryAfter
 	if rate := p.servedRate(now); rate > 0 {
--- a/router/scheduler/runners.go
+++ b/router/scheduler/runners.go
@@ -316,9 +316,9 @@
 	return p.plan(Ask{}) == nil
 }
 
-// covered reports whether endpoints of the declared version hold every layer, with
+// Covered reports whether endpoints of the declared version hold every layer, with
 // or without free slots.
-func (p *Pool) covered() bool {
+func (p *Pool) Covered() bool {
 	return p.capacity > 0
 }
 
--- a/router/scheduler/scheduler.go
+++ b/router/scheduler/scheduler.go
@@ -337,7 +337,18 @@
 // whether one started, or else whether one is held back. Those that can't be on time come after
 // the others.
 func (p *Pool) grantFrom(now time.Time, c *class) (granted, held bool) {
-	marked := false
+	for {
+		granted, held, marked := p.grantHead(now, c)
+		if granted || held || !marked {
+			return granted, held
+		}
+		// The requests that were marked as late now come after others, which may start.
+	}
+}
+
+// grantHead is grantFrom for the requests that are first now. It also reports whether it has
+// marked one as late that no chain can serve on time.
+func (p *Pool) grantHead(now time.Time, c *class) (granted, held, marked bool) {
 	heads := c.queueHeads()
 	for _, w := range heads {
 		if now.Sub(w.since) > maxAvoidTime {
@@ -353,19 +364,15 @@
 			continue
 		}
 		if p.heldBack(now, heads, w) {
-			return false, true
+			return false, true, marked
 		}
 		c.remove(w)
 		delete(p.waiting, w.ask.Request)
 		p.start(now, c, w, chain)
 		p.grant(w.ask.Request, chain)
-		return true, false
-	}
-	if marked {
-		// Those that were moved may be served after the others that can be on time.
-		return p.grantFrom(now, c)
+		return true, false, marked
 	}
-	return false, false
+	return false, false, marked
 }
 
 func (p *Pool) grant(r identifier.Request, chain []identifier.Stage) {
@@ -424,7 +431,7 @@
 		for _, w := range c.removeExpired(now) {
 			delete(p.waiting, w.ask.Request)
 			kind, detail := classifier.Overloaded, fmt.Sprintf("the request waited longer than its limit of %v", w.deadline.Sub(w.since).Round(time.Millisecond))
-			if !p.covered() {
+			if !p.Covered() {
 				kind, detail = classifier.NoChain, "no chain of endpoints covers every layer"
 			}
 			p.refuse(w.ask.Request, kind, detail, p.retryAfter(now, c, w, time.Second))
