Tell a check without files from one with findings; share the setup of the retry tests

operator check without a file exited with 1, which means findings; it is 2 now. The second retry test had repeated the setup of the first, and the first read decisions by a loop of its own.

--- a/operator/check.go
+++ b/operator/check.go
@@ -23,7 +23,7 @@
 force at a router. A difference is not a finding; "operator diff" has an exit code
 for it.
 
-Exit codes: 0 no findings, 1 findings, 2 the files or the version in force could
+Exit codes: 0 no findings, 1 findings, 2 no files named, or the files or the version in force could
 not be read.`
 
 func (t *tool) checkCommand() *cobra.Command {
@@ -32,7 +32,7 @@
 		Use:   "check" + filesUsage,
 		Short: "Check declarations before they are applied",
 		Long:  checkHelp,
-		Args:  cobra.MinimumNArgs(1),
+		Args:  checkArguments,
 		RunE: func(c *cobra.Command, paths []string) error {
 			files, err := readFiles(paths)
 			if err != nil {
@@ -52,7 +52,7 @@
 			if n := len(report.Findings); n > 0 {
 				return &exitError{
 					code: exitFindings,
-					err:  errors.Errorf("%d findings", n),
+					err:  errors.Errorf("findings: %d", n),
 				}
 			}
 			return nil
@@ -62,6 +62,18 @@
 	return c
 }
 
+// checkArguments requires at least one file. Its error has the exit code of files that could not be
+// read, since 1 means that there are findings.
+func checkArguments(c *cobra.Command, args []string) error {
+	if err := cobra.MinimumNArgs(1)(c, args); err != nil {
+		return &exitError{
+			code: exitInvalid,
+			err:  err,
+		}
+	}
+	return nil
+}
+
 // compareAgainst returns what the checked files would change of the version in force at the
 // router with the given URL; nil if there is no URL or the files could not be decoded.
 func (t *tool) compareAgainst(c *cobra.Command, url string, report checker.Report) (*printer.Comparison, error) {
--- a/router/granter/retries_test.go
+++ b/router/granter/retries_test.go
@@ -1,7 +1,6 @@
 package granter_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -14,19 +13,7 @@
 // TestEntryWithoutRetriesRefused guards against a retry that is refused, or granted without
 // being charged, although the budget that all entries share has retries left for it alone.
 func TestEntryWithoutRetriesRefused(t *testing.T) {
-	o := newOwner(t)
-	o.granter.Retries = budgeter.Limits{
-		Ratio:  0.5,
-		Window: 10 * time.Second,
-	}
-	o.configure(1, urgent)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	stream, err := o.granter.Open(ctx, granter.Key{Service: service})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer stream.Close()
+	stream := openWithRetries(t, 0.5)
 	m := &messenger.ToOwner{}
 	for i := range 4 {
 		m.Asks = append(m.Asks, ask(fmt.Sprintf("r%d.1", i), true, false))
@@ -35,29 +22,36 @@
 		m.Asks = append(m.Asks, ask(fmt.Sprintf("r%d.2", i), false, true))
 	}
 	stream.Send(m)
-	retries, refusals := 0, 0
-	for grants := 0; grants+refusals < 7; {
-		select {
-		case <-ctx.Done():
-			t.Fatalf("got %d grants and %d refusals, want 7 answers", grants, refusals)
-		case <-stream.Ready():
-		}
-		for _, answer := range stream.Receive() {
-			refusals += len(answer.GetRefusals())
-			for _, g := range answer.GetGrants() {
-				grants++
-				if g.GetRetry() {
-					retries++
-				}
-			}
+	grants, refusals := awaitDecisions(t, stream, 7)
+	retries := 0
+	for _, g := range grants {
+		if g.GetRetry() {
+			retries++
 		}
 	}
 	// Four requests add two retries.
-	if retries != 2 || refusals != 1 {
-		t.Errorf("got %d retries paid for and %d refused, want 2 and 1", retries, refusals)
+	if retries != 2 || len(refusals) != 1 || !refusals[0].GetRetry() {
+		t.Errorf("got %d retries paid for and refusals %v, want 2 and one for want of a retry", retries, refusals)
 	}
 }
 
+// openWithRetries opens a stream to an owner whose shared budget has the given ratio and no burst.
+func openWithRetries(t *testing.T, ratio float64) *granter.LocalStream {
+	t.Helper()
+	o := newOwner(t)
+	o.granter.Retries = budgeter.Limits{
+		Ratio:  ratio,
+		Window: 10 * time.Second,
+	}
+	o.configure(1, urgent)
+	stream, err := o.granter.Open(t.Context(), granter.Key{Service: service})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stream.Close)
+	return stream
+}
+
 func ask(request string, first, retry bool) *messenger.Ask {
 	return &messenger.Ask{
 		Request:      request,
@@ -74,19 +68,7 @@
 // request that wanted one was cancelled, or gave its ticket back unused, and against one that
 // is charged twice because its ask was sent twice.
 func TestUnusedRetryLost(t *testing.T) {
-	o := newOwner(t)
-	o.granter.Retries = budgeter.Limits{
-		Ratio:  1,
-		Window: 10 * time.Second,
-	}
-	o.configure(1, urgent)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	stream, err := o.granter.Open(ctx, granter.Key{Service: service})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer stream.Close()
+	stream := openWithRetries(t, 1)
 	stream.Send(&messenger.ToOwner{Asks: []*messenger.Ask{ask("r1.1", true, false)}})
 	awaitDecisions(t, stream, 1)
 	// One request adds one retry, which is returned each time.
