Start no further search for a stream that has been replaced

By the logs of one the search had found another run and had ended; the watcher then saw the old attempt, which had not been removed yet, as one without a search, and began a second one, whose run was made in vain and cost a retry.

--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -187,6 +187,13 @@
 	return nil
 }
 
+// replaced reports whether another attempt has replaced this one, which ends then.
+func (a *attempt) replaced() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.next != nil
+}
+
 // dropSuccessor ends b, which does not replace the attempt because of err.
 func (a *attempt) dropSuccessor(ctx context.Context, b *attempt, err error) {
 	a.stream.recordEvidence(ctx, b, err)
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -398,8 +398,11 @@
 		}
 		own := a.queueMove()
 		w.searches.Go(func() error {
-			defer a.searching.Store(false)
 			a.leave(ctx, cause, own)
+			if !a.replaced() {
+				// One that was replaced ends, and needs no further chain until then.
+				a.searching.Store(false)
+			}
 			return nil
 		})
 	}
