Log how far an answer had got, and what the crash of its endpoint was charged to

The users' record does not tell why a request was sent on after many crashes: the line of a failed attempt said only whether the stream had a header and no event, and nothing of what the endpoint was found to be, or of what was charged and why not. It now has progress, endpoint-state and charged, in place of unanswered. A metric counts the crashes that an instance saw by what they were charged to; a run that can't be the cause is looked at again as well, once for each endpoint, so that a crash that is charged to nothing is counted too.

No change in what is suspected.

--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -112,29 +112,47 @@
 
 // recordEvidence records what an attempt that ended with err says about the request and the
 // parts of its prompt. If an endpoint crashed before the first event, each of them may be the
-// cause. The result is true if a part may be.
-func (s *stream) recordEvidence(ctx context.Context, a *attempt, err error) bool {
-	q := s.proxier.Quarantiner
+// cause.
+func (s *stream) recordEvidence(ctx context.Context, a *attempt, err error) finding {
+	x := s.proxier
+	out := finding{
+		progress: a.progress(),
+		state:    endpointsNotAsked,
+		charge:   chargeNothing,
+	}
 	if a.progressed.Load() && a.failed.Endpoint == "" {
-		q.RecordAnswer(time.Now(), s.keys)
-		return false
+		x.Quarantiner.RecordAnswer(time.Now(), s.keys)
+		return out
 	}
+	first := a.chain()[0]
 	if s.resumed() || !a.unanswered() {
-		return false
+		x.checkLater(err, first.EndpointIncarnation, first.Address, nil)
+		return out
 	}
-	failed, crashed := s.proxier.crashed(ctx, a, err)
+	failed, crashed := x.crashed(ctx, a, err)
+	out.state = endpointStateOf(crashed)
 	if !crashed || ctx.Err() != nil {
-		if s.proxier.checkLater(err, a.chain()[0].EndpointIncarnation, a.chain()[0].Address, s.keys) {
+		if x.checkLater(err, first.EndpointIncarnation, first.Address, s.keys) {
+			out.charge = chargeLater
 			a.pass.Leave()
 		}
-		return false
+		return out
 	}
 	keys := s.keys
-	if !errors.Is(err, exchanger.ErrLost) && !s.proxier.refuses(ctx, addressOf(a.chain(), failed)) {
+	out.charge = chargeRequest
+	if !errors.Is(err, exchanger.ErrLost) && !x.refuses(ctx, addressOf(a.chain(), failed)) {
 		keys = keys[1:]
+		out.charge = chargeParts
 	}
-	q.RecordCrash(time.Now(), failed, keys)
-	return len(s.job.Request.Parts) > 0
+	x.recordCrash(failed, keys, out.charge)
+	return out
+}
+
+// recordCrash records the crash of an endpoint under keys, which may be none.
+func (x *Proxier) recordCrash(incarnation identifier.EndpointIncarnation, keys []quarantiner.Key, c charge) {
+	now := time.Now()
+	x.tally.add(now, incarnation, c)
+	x.Quarantiner.RecordCrash(now, incarnation, keys)
 }
 
 // recordSilence records that an endpoint may have crashed under the parts of a prompt that it
@@ -144,7 +162,7 @@
 	if len(s.job.Request.Parts) == 0 || s.resumed() || !a.unanswered() || cause.detail != reasonUnresponsive {
 		return false
 	}
-	s.proxier.Quarantiner.RecordCrash(time.Now(), cause.incarnation, s.keys[1:])
+	s.proxier.recordCrash(cause.incarnation, s.keys[1:], chargeParts)
 	return true
 }
 
@@ -205,6 +223,8 @@
 // takes no connection after it lost one has ended.
 func (p *plainRequest) recordEvidence(ctx context.Context, run *plainRun) {
 	x, e := p.proxier, run.endpoint
+	run.finding.state = endpointsNotAsked
+	run.finding.charge = chargeNothing
 	if run.err == nil {
 		x.Quarantiner.RecordAnswer(time.Now(), p.keys)
 		return
@@ -212,11 +232,15 @@
 	if run.cut || !errors.Is(run.err, exchanger.ErrLost) {
 		return
 	}
-	if x.reports.crashed(e.EndpointIncarnation, func() bool { return x.dial(ctx, e.Address) != nil }) {
-		x.Quarantiner.RecordCrash(time.Now(), e.EndpointIncarnation, p.keys)
+	crashed := x.reports.crashed(e.EndpointIncarnation, func() bool { return x.dial(ctx, e.Address) != nil })
+	run.finding.state = endpointStateOf(crashed)
+	if crashed {
+		run.finding.charge = chargeRequest
+		x.recordCrash(e.EndpointIncarnation, p.keys, chargeRequest)
 		return
 	}
 	if x.checkLater(run.err, e.EndpointIncarnation, e.Address, p.keys) {
+		run.finding.charge = chargeLater
 		run.pass.Leave()
 	}
 }
@@ -303,7 +327,7 @@
 // awaitVerdict waits, if the request may have crashed its endpoint, until the verdict on
 // its parts can be known.
 func (s *stream) awaitVerdict(ctx context.Context) {
-	if !s.suspect {
+	if len(s.job.Request.Parts) == 0 || !s.finding.crashed() {
 		return
 	}
 	sleep(ctx, verdictDelay)
--- a/router/proxier/lostruns.go
+++ b/router/proxier/lostruns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 )
 
 // lostRun is a run whose connection was lost while its endpoint lived on: the endpoint may
-// still work on it, and crash.
+// still work on it, and crash. One without keys can't be the cause, but tells of a crash.
 type lostRun struct {
 	incarnation identifier.EndpointIncarnation
 	address     string
@@ -42,7 +43,8 @@
 	}
 	x.lostRuns.mu.Lock()
 	defer x.lostRuns.mu.Unlock()
-	if len(x.lostRuns.runs) >= maxLostRuns {
+	same := func(r lostRun) bool { return r.incarnation == incarnation }
+	if len(x.lostRuns.runs) >= maxLostRuns || (len(keys) == 0 && slices.ContainsFunc(x.lostRuns.runs, same)) {
 		return false
 	}
 	x.lostRuns.runs = append(x.lostRuns.runs, lostRun{
@@ -73,7 +75,11 @@
 	for _, r := range runs {
 		group.Go(func() error {
 			if x.reports.crashed(r.incarnation, func() bool { return x.refuses(ctx, r.address) }) {
-				x.Quarantiner.RecordCrash(time.Now(), r.incarnation, r.keys)
+				c := chargeRequest
+				if len(r.keys) == 0 {
+					c = chargeNothing
+				}
+				x.recordCrash(r.incarnation, r.keys, c)
 			}
 			return nil
 		})
--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -116,7 +116,7 @@
 
 // failure returns a logger with the fields of a run that failed.
 func (p *plainRequest) failure(r *plainRun, retry bool) *logrus.Entry {
-	return p.proxier.log(p.job).WithError(r.err).WithFields(logrus.Fields{
+	return p.proxier.log(p.job).WithError(r.err).WithFields(r.finding.logFields()).WithFields(logrus.Fields{
 		"endpoint":    r.endpoint.Endpoint,
 		"runs":        p.runs,
 		"left-ms":     time.Until(p.job.Deadline).Milliseconds(),
--- a/router/proxier/plainrun.go
+++ b/router/proxier/plainrun.go
@@ -26,6 +26,7 @@
 	ran, cut bool
 	response *completeResponse
 	err      error
+	finding  finding
 }
 
 // plainRuns are the runs of a plain request, of which the first answer is passed on.
@@ -76,6 +77,7 @@
 		endpoint: e,
 		pass:     pass,
 		again:    p.sent.add(e.Address),
+		finding:  finding{progress: answerNone},
 	}
 	r.running++
 	r.group.Go(func() error {
@@ -162,6 +164,7 @@
 		x.Exchanger.CloseIdle(e.Address)
 		return nil, err
 	}
+	run.finding.progress = answerHeader
 	info := x.Codec.ParseResponse(j.Request, response.Status, response.Header)
 	p.recordLimit(sentAt, e, info)
 	x.recordWishes(j, e.EndpointIncarnation, info)
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -91,6 +91,7 @@
 	quota    byteQuota
 	reports  crashReports
 	lostRuns lostRuns
+	tally    crashTally
 	turns    turns
 
 	mu      sync.Mutex
--- a/router/proxier/stall.go
+++ b/router/proxier/stall.go
@@ -63,6 +63,9 @@
 					return nil
 				})
 			}
+			for _, c := range x.tally.takeDue(now) {
+				x.Reporter.CountCrash(string(c))
+			}
 		case <-cleanup.C:
 			x.Balancer.Keep(x.Publisher.View().Incarnations())
 		}
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -46,12 +46,10 @@
 	// forwarded counts the events that were forwarded.
 	forwarded int64
 	timing    timing
-	// chain is the last chain that was used, and unanswered is set if its endpoint had
-	// sent the header of the stream and no event.
-	chain      []identifier.Stage
-	unanswered bool
-	// suspect is set if the last endpoint crashed and the request may be the cause.
-	suspect bool
+	// chain is the last chain that was used.
+	chain []identifier.Stage
+	// finding is what the end of the last run showed.
+	finding finding
 	// next is the next attempt, if it has begun already.
 	next *attempt
 	// sharedRetry is set if the next chain is for a retry out of the owner's budget.
@@ -110,7 +108,7 @@
 
 // logFailure logs an attempt that did not deliver the complete response.
 func (s *stream) logFailure(err error, retry bool) {
-	s.proxier.log(s.job).WithError(err).WithFields(logrus.Fields{
+	s.proxier.log(s.job).WithError(err).WithFields(s.finding.logFields()).WithFields(logrus.Fields{
 		"chain":       formatChain(s.chain),
 		"last":        s.lastEvent.Load(),
 		"runs":        s.runs,
@@ -119,7 +117,6 @@
 		"retries":     s.proxier.budget(time.Now(), s.job.Service).Remaining(),
 		"queued-ms":   s.timing.queued.Milliseconds(),
 		"parts":       s.job.Request.Parts,
-		"unanswered":  s.unanswered,
 		"fingerprint": s.keys[0].Name,
 	}).Warn("attempt failed")
 }
@@ -186,7 +183,7 @@
 	defer a.pass.End()
 	err = a.run(ctx)
 	s.finish(a)
-	s.suspect = s.recordEvidence(ctx, a, err)
+	s.finding = s.recordEvidence(ctx, a, err)
 	if a.failed.Endpoint != "" {
 		s.addAvoided(a.failed)
 	}
@@ -212,7 +209,6 @@
 	used.Release(a.outcome(a.failed))
 	s.chain = used.Chain
 	s.next = next
-	s.unanswered = a.unanswered()
 	s.ran = s.ran || runs > 0
 	s.runs += runs
 }
--- a/router/reporter/reporter.go
+++ b/router/reporter/reporter.go
@@ -122,6 +122,11 @@
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_shared_retries_total{service=%q,outcome=%q}`, s, outcome)).Inc()
 }
 
+// CountCrash counts the crash of an endpoint that this instance saw, by what it was charged to.
+func (r *Reporter) CountCrash(charged string) {
+	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_endpoint_crashes_total{charged=%q}`, charged)).Inc()
+}
+
 // CountReroute counts a stream that was rerouted to another chain.
 func (r *Reporter) CountReroute(s identifier.Service) {
 	r.set.GetOrCreateCounter(fmt.Sprintf(`heatherhold_moves_total{service=%q}`, s)).Inc()
