--- a/router/storelist_test.go
+++ b/router/storelist_test.go
@@ -19,7 +19,7 @@
 	text := s.storeSettings(store, 100*time.Millisecond, time.Second)
 	text = strings.Replace(text, `instance = "r1"`, fmt.Sprintf("instance = %q", name), 1)
 	if len(seeds) > 0 {
-		text = strings.Replace(text, "seeds = []", fmt.Sprintf("seeds = [%q]", strings.Join(seeds, `", "`)), 1)
+		text = strings.Replace(text, "seeds = []", `seeds = ["`+strings.Join(seeds, `", "`)+`"]`, 1)
 	}
 	s.settings = filepath.Join(s.dir, name+"-store.toml")
 	if err := os.WriteFile(s.settings, []byte(text), 0o600); err != nil {
