Let the repeats of one request excuse a part only if they are all of its crashes

Cause: every request under which two endpoints had crashed took all but one of its crashes from every part, also from parts that it does not have. A sound request that ran beside two crashes and was repeated thus made the part that caused them look better.

Now a part is excused only if one request crashed all endpoints that crashed under the part.

TestPartSparedBesideRepeatedSoundRequests fails on the code before: two crashes counted of three.

--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -210,35 +210,25 @@
 			parts[key] = crashes
 		}
 	}
-	for _, key := range slices.SortedFunc(maps.Keys(requests), CompareKeys) {
-		for part, crashes := range parts {
-			crashes.removeRepeats(requests[key])
-			if len(crashes) < suspectedCrashes {
-				delete(parts, part)
-			}
+	for part, crashes := range parts {
+		if len(crashes) < suspectedCrashes || explainedByOne(crashes, requests) {
+			delete(parts, part)
 		}
 	}
 	judgeParts(records, parts, verdicts)
 	return verdicts
 }
 
-// removeRepeats leaves one crash of those under a request that crashed several endpoints: the
-// others say no more about a part of its prompt.
-func (c crashSet) removeRepeats(request crashSet) {
-	first := true
-	for _, incarnation := range slices.SortedFunc(maps.Keys(request), compareIncarnations) {
-		if !c[incarnation] {
-			continue
+// explainedByOne reports whether one request crashed all endpoints that crashed under a part: its
+// repeats say no more about the part. A request that explains only some of the crashes may as well
+// have run beside them.
+func explainedByOne(crashes crashSet, requests map[Key]crashSet) bool {
+	for _, other := range requests {
+		if crashes.within(other) {
+			return true
 		}
-		if !first {
-			delete(c, incarnation)
-		}
-		first = false
 	}
-}
-
-func compareIncarnations(a, b identifier.EndpointIncarnation) int {
-	return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Incarnation, b.Incarnation))
+	return false
 }
 
 // judgeParts adds the verdicts on parts, given the crashes that count against each. A crash
