Pace the tests of a condemned part by all its crashes, and by tests that showed nothing

Callers saw: each test of a part that crashes endpoints ended one more, a second and four seconds after the third and the fourth crash, then after one, two and four minutes.

Cause: the delays followed the crashes that counted, which repeats lower, and a test whose outcome nobody saw (an endpoint refused it, its caller left) left the next one free at once.

A part is now tested a second after its third crash, which clears one that many sound requests share, 30 s after the fourth, and 15 minutes and more after later ones; all uncleared crashes delay it, and a test that was sent is not repeated before the same delay. Operators can release a part at any time.

TestTestWithoutResultRepeatedAtOnce (100 tests in 10 s) and TestPartTestedOftenAfterFiveCrashes (6 in two hours) fail on the code before.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -166,6 +166,7 @@
 		metadata.Chain = chain
 	}
 	a.sentAt = time.Now()
+	a.pass.RecordSent(a.sentAt)
 	response, err := s.proxier.Exchanger.Open(a.ctx, s.proxier.newRequest(s.job, chain[0].Address, s.addSent(chain[0].Address), metadata))
 	if err != nil {
 		a.ran = !errors.Is(err, exchanger.ErrNotSent)
--- a/router/proxier/plainrun.go
+++ b/router/proxier/plainrun.go
@@ -153,6 +153,7 @@
 func (p *plainRequest) send(ctx context.Context, run *plainRun) (*completeResponse, error) {
 	x, j, e := p.proxier, p.job, run.endpoint
 	sentAt := time.Now()
+	run.pass.RecordSent(sentAt)
 	response, err := x.Exchanger.Open(ctx, x.newRequest(j, e.Address, run.again, courier.RequestMetadata{
 		Endpoint:  e.Endpoint,
 		Customer:  j.Customer,
--- a/router/quarantiner/evidence_test.go
+++ b/router/quarantiner/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/quarantiner"
@@ -37,3 +38,46 @@
 		}
 	}
 }
+
+// TestTestWithoutResultRepeatedAtOnce guards against tests of a condemned part that follow each
+// other at once because the endpoints refuse them or their callers leave.
+func TestTestWithoutResultRepeatedAtOnce(t *testing.T) {
+	f := newFleet(1)
+	for range 4 {
+		f.crash("i0", bad)
+	}
+	f.now = f.now.Add(time.Hour)
+	sent := 0
+	for range 100 {
+		if pass, _ := f.instances["i0"].Admit(f.now, []quarantiner.Key{bad}); pass != nil {
+			pass.RecordSent(f.now)
+			pass.End()
+			sent++
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+	}
+	if sent != 1 {
+		t.Errorf("got %d tests of the condemned part within 10 s, want 1", sent)
+	}
+}
+
+// TestPartTestedOftenAfterFiveCrashes guards against tests of a part that add up in the hours
+// after its fifth crash.
+func TestPartTestedOftenAfterFiveCrashes(t *testing.T) {
+	f := newFleet(3)
+	for i := range 5 {
+		f.crash("i0", requestKey(fmt.Sprint("r", i/2)), bad)
+	}
+	f.exchangeAll()
+	sent := 0
+	for i := range 2 * 3600 {
+		f.now = f.now.Add(time.Second)
+		if f.send(f.names[i%len(f.names)], bad) {
+			sent++
+			f.exchangeAll()
+		}
+	}
+	if sent > 3 {
+		t.Errorf("got %d requests with the part sent within two hours after its fifth crash, want at most 3", sent)
+	}
+}
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -62,6 +62,7 @@
 	records  map[Key]*record
 	answers  recentAnswers
 	tests    map[Key]time.Time
+	tested   map[Key]time.Time
 	claims   map[Key][]*claim
 	complete bool
 	verdicts map[Key]Verdict
@@ -89,6 +90,20 @@
 	claimed []Key
 }
 
+// RecordSent records that the request is sent to an endpoint. A test that was sent is not
+// repeated at once, whatever becomes of it.
+func (p *Pass) RecordSent(now time.Time) {
+	q := p.quarantiner
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, part := range p.tests {
+		if q.tested == nil {
+			q.tested = make(map[Key]time.Time)
+		}
+		q.tested[part] = now
+	}
+}
+
 // Admit returns a pass for a request with the given keys, or the reason why it may not
 // be sent.
 func (q *Quarantiner) Admit(now time.Time, keys []Key) (*Pass, *Refusal) {
@@ -256,6 +271,9 @@
 		if started, ok := q.tests[part]; ok && now.Sub(started) < testTimeout {
 			return false
 		}
+		if sent, ok := q.tested[part]; ok && v.Condemned && now.Sub(sent) < v.TestAt.Sub(v.LastCrash) {
+			return false
+		}
 	}
 	tester, _ := assigner.Owner(identifier.Service(suspects[0].Name), q.Live())
 	return tester == q.Self
@@ -387,6 +405,7 @@
 // expire removes the keys whose last crash is too long ago.
 func (q *Quarantiner) expire(now time.Time) {
 	maps.DeleteFunc(q.records, func(key Key, r *record) bool { return now.Sub(r.lastCrash()) > retentionOf(key.Scope) })
+	maps.DeleteFunc(q.tested, func(key Key, _ time.Time) bool { return q.records[key] == nil })
 }
 
 // evict makes room for more keys. It removes those whose last crash is too long ago and,
--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -24,17 +24,19 @@
 	// one at a time, and condemnedCrashes that from which they are refused.
 	suspectedCrashes = 2
 	condemnedCrashes = 3
-	// earlyTestDelay is how long after the last crash a condemned part is tested at first,
-	// and earlyTests how many such tests there are, with delays that rise by
-	// earlyTestFactor: they clear a part that many sound requests share.
-	earlyTestDelay  = time.Second
-	earlyTestFactor = 4
-	earlyTests      = 2
-	// testDelay is how long after the last crash a part is tested again after the early
-	// tests, or several suspected parts together. The delay doubles with each further
-	// crash, up to maxTestDelay.
-	testDelay    = time.Minute
-	maxTestDelay = time.Hour
+	// firstTestDelay is how long after the last crash a part with condemnedCrashes is tested, which
+	// clears one that many sound requests share, and secondTestDelay the same after the
+	// next crash.
+	firstTestDelay  = time.Second
+	secondTestDelay = 30 * time.Second
+	// lateTestDelay is that after further crashes. It doubles with each one, up to
+	// maxTestDelay: each test may cost an endpoint, and operators can release a part.
+	lateTestDelay = 15 * time.Minute
+	maxTestDelay  = 4 * time.Hour
+	// jointTestDelay is how long after the last crash several suspected parts are tested
+	// together. It doubles with each further crash, up to maxJointDelay.
+	jointTestDelay = time.Minute
+	maxJointDelay  = time.Hour
 	// requestTestDelay is how long after the last crash a condemned request is tested. Nobody
 	// misses one that crashed so many endpoints, and each test may cost another.
 	requestTestDelay = 12 * time.Hour
@@ -276,7 +278,8 @@
 	return Key{}, false
 }
 
-// newVerdict returns the verdict on a key with the given number of crashes.
+// newVerdict returns the verdict on a key with the given number of crashes that count. All that
+// it is not cleared of delay its test.
 func newVerdict(r *record, crashes int, condemned bool) Verdict {
 	v := Verdict{
 		Condemned: condemned,
@@ -289,7 +292,7 @@
 	case r.scope == WholeRequest:
 		v.TestAt = v.LastCrash.Add(requestTestDelay)
 	default:
-		v.TestAt = v.LastCrash.Add(condemnedDelay(crashes))
+		v.TestAt = v.LastCrash.Add(condemnedDelay(len(r.uncleared())))
 	}
 	return v
 }
@@ -297,27 +300,26 @@
 // condemnedDelay returns how long after the last of its crashes a condemned part is
 // tested.
 func condemnedDelay(crashes int) time.Duration {
-	delay := earlyTestDelay
-	for n := range earlyTests {
-		if crashes <= condemnedCrashes+n {
-			return delay
-		}
-		delay *= earlyTestFactor
+	switch n := crashes - condemnedCrashes; {
+	case n <= 0:
+		return firstTestDelay
+	case n == 1:
+		return secondTestDelay
+	default:
+		return doubled(lateTestDelay, n-2, maxTestDelay)
 	}
-	return lateDelay(crashes - condemnedCrashes - earlyTests)
 }
 
-// lateDelay returns the delay of a test after n other late ones.
-func lateDelay(n int) time.Duration {
-	delay := testDelay
-	for ; n > 0 && delay < maxTestDelay; n-- {
-		delay *= 2
+// doubled returns d doubled n times, at most limit.
+func doubled(d time.Duration, n int, limit time.Duration) time.Duration {
+	for ; n > 0 && d < limit; n-- {
+		d *= 2
 	}
-	return min(delay, maxTestDelay)
+	return min(d, limit)
 }
 
 // testTogether returns when the part may be tested in one request with other suspected
 // parts.
 func (v Verdict) testTogether() time.Time {
-	return v.LastCrash.Add(lateDelay(v.Crashes - condemnedCrashes))
+	return v.LastCrash.Add(doubled(jointTestDelay, v.Crashes-condemnedCrashes, maxJointDelay))
 }
