Send each peer a change of what is suspected once

Cause: a changed record was sent with every message for ten seconds, and all records with every answer to a peer that knew something else, which is always the case while news spread; news that came one by one each started a push of their own.

Now an instance remembers when each peer last got the changes. A lost answer is made good by a message with all records, at most one a second unless the peer has just started. Pushes are 20 ms apart, so that news that come together travel together.

--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -175,6 +175,9 @@
 // pushFanout is how many peers are sent a new revision or mark immediately.
 const pushFanout = 3
 
+// pushPause is the least time between two pushes, so that news that come together travel together.
+const pushPause = 20 * time.Millisecond
+
 // pushUpdates exchanges with some peers as soon as there is a new revision or
 // mark, without waiting for the exchange interval.
 func (c *Controller) pushUpdates(ctx context.Context) error {
@@ -185,6 +188,11 @@
 		case <-c.pushSignal:
 			c.exchangeWithRandomPeers(ctx, pushFanout)
 		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pushPause):
+		}
 	}
 }
 
@@ -257,7 +265,7 @@
 		return nil, 0, err
 	}
 	if c.Quarantiner != nil {
-		request.Quarantine = c.Quarantiner.News(sentAt)
+		request.Quarantine = c.Quarantiner.News(sentAt, identifier.Instance(m.GetInstance()))
 	}
 	request.Departures = c.departuresToSend(sentAt)
 	reply, err := c.Dialer.Exchange(ctx, m.GetAddress(), request)
@@ -268,6 +276,7 @@
 		return nil, 0, err
 	}
 	if c.Quarantiner != nil {
+		c.Quarantiner.Delivered(sentAt, identifier.Instance(m.GetInstance()))
 		c.Quarantiner.Merge(time.Now(), reply.GetQuarantine())
 	}
 	c.learnReported(reply.GetReceiver(), reply.GetDepartures())
@@ -292,7 +301,7 @@
 	}
 	if err == nil && c.Quarantiner != nil {
 		c.Quarantiner.Merge(now, r.GetQuarantine())
-		reply.Quarantine = c.Quarantiner.Reply(now, r.GetQuarantine())
+		reply.Quarantine = c.Quarantiner.Reply(now, identifier.Instance(r.GetSender().GetInstance()), r.GetQuarantine())
 	}
 	return reply, errors.Wrap(err, "handle exchange")
 }
--- a/router/quarantiner/evidence_test.go
+++ b/router/quarantiner/evidence_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/quarantiner"
 )
@@ -81,3 +83,38 @@
 		t.Errorf("got %d requests with the part sent within two hours after its fifth crash, want at most 3", sent)
 	}
 }
+
+// TestExchangesGrowWithSuspects guards against exchanges that need more than a node may spend on
+// control because each crash ends many requests that may be its cause.
+func TestExchangesGrowWithSuspects(t *testing.T) {
+	const (
+		// nodeBytesPerSecond is what a node may spend on control, and period the time of the test.
+		nodeBytesPerSecond = 19000
+		period             = 20 * time.Second
+		interval           = 100 * time.Millisecond
+	)
+	f := newFleet(9)
+	bytes, round := 0, 0
+	for start := f.now; f.now.Sub(start) < period; f.now = f.now.Add(interval) {
+		if round%40 == 0 {
+			var requests [][]quarantiner.Key
+			for i := range 30 {
+				requests = append(requests, []quarantiner.Key{requestKey(fmt.Sprintf("%032x", 1000*round+i)), partKey(fmt.Sprintf("%012x", i))})
+			}
+			f.crashBeside(f.names[round%9], requests...)
+		}
+		for i, from := range f.names {
+			to := f.names[(i+1+round%8)%9]
+			request := f.instances[from].News(f.now, to)
+			f.instances[to].Merge(f.now, copyOf(request))
+			reply := f.instances[to].Reply(f.now, from, request)
+			f.instances[from].Delivered(f.now, to)
+			f.instances[from].Merge(f.now, copyOf(reply))
+			bytes += proto.Size(request) + proto.Size(reply)
+		}
+		round++
+	}
+	if got, want := bytes/9/int(period/time.Second), nodeBytesPerSecond; got > want {
+		t.Errorf("got %d bytes a second and node, want at most %d", got, want)
+	}
+}
--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -11,28 +12,62 @@
 )
 
 const (
-	// newsPeriod is how long after a change a record is sent with every message.
+	// newsPeriod is how long after a change a record is sent to a peer that has not got it.
 	newsPeriod = 10 * time.Second
+	// wholeInterval is the least time between two messages with all records to peers that
+	// know something else, unless a peer has just started.
+	wholeInterval = time.Second
 	// maxSent limits the records in one message.
 	maxSent = 512
 )
 
-// News returns what to send to a peer: the records that changed lately.
-func (q *Quarantiner) News(now time.Time) *messenger.Quarantine {
+// News returns what to send to a peer: the records that changed lately, since the last message
+// that it got. Once the peer has got it, Delivered must be called.
+func (q *Quarantiner) News(now time.Time, to identifier.Instance) *messenger.Quarantine {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
-	return q.message(now, func(r *record) bool { return now.Sub(r.changedAt) <= newsPeriod })
+	return q.message(now, q.newsFor(now, to))
 }
 
-// Reply returns the answer to a peer's message: what changed lately, or all that is
-// known if the peer knows something else.
-func (q *Quarantiner) Reply(now time.Time, peer *messenger.Quarantine) *messenger.Quarantine {
+// Delivered records that a peer has got the news of the given time.
+func (q *Quarantiner) Delivered(newsAt time.Time, to identifier.Instance) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recordDelivered(newsAt, to)
+}
+
+func (q *Quarantiner) recordDelivered(at time.Time, to identifier.Instance) {
+	if q.delivered == nil {
+		q.delivered = make(map[identifier.Instance]time.Time)
+	}
+	maps.DeleteFunc(q.delivered, func(_ identifier.Instance, old time.Time) bool { return at.Sub(old) > newsPeriod })
+	q.delivered[to] = at
+}
+
+// newsFor returns a function that reports whether a record is news for a peer.
+func (q *Quarantiner) newsFor(now time.Time, to identifier.Instance) func(*record) bool {
+	since := now.Add(-newsPeriod)
+	if at, ok := q.delivered[to]; ok && at.After(since) {
+		since = at
+	}
+	return func(r *record) bool { return !r.changedAt.Before(since) }
+}
+
+// Reply returns the answer to a peer's message: nothing if it knows the same, otherwise what
+// changed lately, or now and then all that is known. If the answer is lost, the peer gets it then.
+func (q *Quarantiner) Reply(now time.Time, from identifier.Instance, peer *messenger.Quarantine) *messenger.Quarantine {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
+	match := q.newsFor(now, from)
+	q.recordDelivered(now, from)
 	differs := peer.GetDigest() != q.digest()
-	return q.message(now, func(r *record) bool { return differs || now.Sub(r.changedAt) <= newsPeriod })
+	if differs && (!peer.GetComplete() || now.Sub(q.wholeAt) >= wholeInterval) {
+		q.wholeAt = now
+		return q.message(now, func(*record) bool { return true })
+	}
+	return q.message(now, func(r *record) bool { return differs && match(r) })
 }
 
 // message returns a message with the records that match, those with the most recent
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -64,10 +64,14 @@
 	tests    map[Key]time.Time
 	tested   map[Key]time.Time
 	claims   map[Key][]*claim
-	complete bool
 	verdicts map[Key]Verdict
 	judgedAt time.Time
 	lost     int
+
+	complete bool
+	// delivered is when each peer last got what had changed, and wholeAt when one last got all.
+	delivered map[identifier.Instance]time.Time
+	wholeAt   time.Time
 }
 
 // Refusal is the reason why a request is not sent.
--- a/router/quarantiner/quarantiner_test.go
+++ b/router/quarantiner/quarantiner_test.go
@@ -63,9 +63,10 @@
 
 // exchange makes one instance exchange with another, over the wire format.
 func (f *fleet) exchange(from, to identifier.Instance) {
-	request := copyOf(f.instances[from].News(f.now))
+	request := copyOf(f.instances[from].News(f.now, to))
 	f.instances[to].Merge(f.now, request)
-	f.instances[from].Merge(f.now, copyOf(f.instances[to].Reply(f.now, request)))
+	f.instances[from].Delivered(f.now, to)
+	f.instances[from].Merge(f.now, copyOf(f.instances[to].Reply(f.now, from, request)))
 }
 
 func copyOf(m *messenger.Quarantine) *messenger.Quarantine {
@@ -321,7 +322,7 @@
 	if f.send("i0", bad) {
 		t.Error("the condemned part was pushed out")
 	}
-	if got := proto.Size(f.instances["i0"].Reply(f.now, nil)); got > 64<<10 {
+	if got := proto.Size(f.instances["i0"].Reply(f.now, "i1", nil)); got > 64<<10 {
 		t.Errorf("got a message of %d bytes, want at most %d", got, 64<<10)
 	}
 }
@@ -355,7 +356,7 @@
 		fleet := newFleet(2)
 		q := fleet.instances["i0"]
 		q.Merge(fleet.now, m)
-		q.Reply(fleet.now, m)
+		q.Reply(fleet.now, "i1", m)
 		if _, refusal := q.Admit(fleet.now, nil); refusal != nil {
 			t.Errorf("got refusal %+v for a request without parts, want none", refusal)
 		}
@@ -419,7 +420,7 @@
 		if got := f.instances[name].Verdicts(f.now); len(got) > 0 {
 			t.Errorf("%s: got verdicts %v seven hours after the last crash, want none", name, got)
 		}
-		if got := f.instances[name].News(f.now).GetDigest(); got != 0 {
+		if got := f.instances[name].News(f.now, "i0").GetDigest(); got != 0 {
 			t.Errorf("%s: got digest %d, want that of no records", name, got)
 		}
 	}
--- a/router/quarantiner/request_test.go
+++ b/router/quarantiner/request_test.go
@@ -228,7 +228,7 @@
 	const late = 50 * time.Millisecond
 	for range 100 {
 		for i, from := range f.names {
-			request := copyOf(f.instances[from].News(f.now))
+			request := copyOf(f.instances[from].News(f.now, f.names[(i+4)%9]))
 			f.instances[f.names[(i+4)%9]].Merge(f.now.Add(late), request)
 			f.instances[f.names[(i+1)%9]].Merge(f.now.Add(late), request)
 		}
@@ -322,7 +322,7 @@
 	if _, refusal := f.instances["i0"].Admit(f.now, []quarantiner.Key{deadly}); refusal == nil {
 		t.Error("the condemned request was pushed out")
 	}
-	if got := proto.Size(f.instances["i0"].Reply(f.now, nil)); got > 128<<10 {
+	if got := proto.Size(f.instances["i0"].Reply(f.now, "i1", nil)); got > 128<<10 {
 		t.Errorf("got a message of %d bytes, want at most %d", got, 128<<10)
 	}
 }
