Charge the crash of an endpoint to all runs that had just begun there, however far their answers had got

Callers saw: a request, or requests with one part, were sent to endpoint after endpoint for as long as they came, each of which ended; the streams of others ended with them.

Cause: how many bytes of an answer had arrived was taken for a sign of what had run. A crash was charged only to streams with a header and no event. A process that ends may leave less (its header was still in a buffer), and then nothing was charged; or more (an event had left), and then the request even counted as answered, which cleared it of its other crashes.

Evidence: TestCrashingRequestsSentOn, three processes.

Why this works: a run is cleared only by time. The caller's leaving is no answer any more. A run that has sent events goes on at once after the first crash, unless it was suspected before; another one waits for the verdict. Before a request under which an endpoint crashed is sent again, the stages of its chain must answer, so that an older crash isn't charged to it; a crash that any instance saw before the run was sent isn't either. A young run is moved to another stage only if nothing is known against it.

Second fault, found by TestStreamSentOnAfterEndpointsEnded on the way: the answer of an endpoint was used for 100 ms, also for a loss after the question. It is now used only if it was asked since.

--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -48,6 +48,8 @@
 	// once an event of the attempt was forwarded.
 	answering  atomic.Bool
 	progressed atomic.Bool
+	// proving is since when the attempt has made progress over its present chain.
+	proving proving
 	// lastEventAt is when the last event was received; nil before the first.
 	lastEventAt atomic.Pointer[time.Time]
 	// pace is the time between the events, and stallAfter the time in nanoseconds without an
@@ -307,6 +309,7 @@
 			continue
 		}
 		a.recordFirstEvent()
+		a.recordProgress(now)
 		if err := a.forwardEvent(out, e); err != nil {
 			a.response.Discard()
 			return err
@@ -347,9 +350,7 @@
 	a.bytesSinceProgress = 0
 	s.lastEvent.Store(e.id)
 	s.forwarded++
-	if !a.progressed.Swap(true) {
-		s.recordProgress()
-	}
+	a.progressed.Store(true)
 	s.timing.recordEvent(time.Now())
 	return nil
 }
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,11 +23,6 @@
 // is sent again: until the crash counts, and what others observed has arrived.
 const verdictDelay = quarantiner.SettleTime + 200*time.Millisecond
 
-// unanswered reports whether the endpoint has begun to answer and has sent no event.
-func (a *attempt) unanswered() bool {
-	return a.answering.Load() && !a.progressed.Load()
-}
-
 const (
 	// maxHold limits how long a request is held that may soon be sent, and holdInterval is
 	// how often it is looked at meanwhile.
@@ -53,11 +49,17 @@
 	}
 }
 
-// admit returns the permission to send the request. A stream that has forwarded events needs
-// no verdict: it crashes no endpoint.
+// trusted reports whether the stream goes on without a verdict: it has forwarded events, and one
+// crash at most may be due to it, before which nothing was suspected. Nearly all such streams
+// are sound, and their callers bear only short pauses.
+func (s *stream) trusted() bool {
+	return s.resumed() && s.crashes <= 1 && !s.suspect
+}
+
+// admit returns the permission to send the request.
 func (s *stream) admit(ctx context.Context) (*quarantiner.Pass, error) {
 	keys := s.keys
-	if s.resumed() {
+	if s.trusted() {
 		keys = nil
 	}
 	return s.proxier.admit(ctx, s.job.Deadline, keys)
@@ -71,7 +73,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		ticket, err := s.acquireTicket(ctx)
+		ticket, err := s.acquireLiving(ctx, pass)
 		if err != nil {
 			pass.End()
 			return nil, nil, err
@@ -88,6 +90,27 @@
 	}
 }
 
+// acquireLiving acquires a chain for a request with a pass. If an endpoint has crashed under
+// the request, those of the chain must answer first: a crash that happened before it was
+// sent would count against it.
+func (s *stream) acquireLiving(ctx context.Context, pass *quarantiner.Pass) (*acquirer.Ticket, error) {
+	for {
+		ticket, err := s.acquireTicket(ctx)
+		if err != nil || !pass.Alone() {
+			return ticket, err
+		}
+		ended, ok := s.proxier.endedStage(ctx, ticket.Chain)
+		if !ok {
+			return ticket, nil
+		}
+		s.addAvoided(ended)
+		ticket.Release(acquirer.Outcome{Failed: ended})
+		if s.chainsRequested.Load() >= maxChains {
+			return nil, errors.Wrapf(exchanger.ErrNotSent, "endpoint %s does not answer", ended.Endpoint)
+		}
+	}
+}
+
 // quarantined returns the error for a request that is not sent.
 func quarantined(r *quarantiner.Refusal) error {
 	action := "are sent one at a time"
@@ -111,8 +134,8 @@
 }
 
 // recordEvidence records what an attempt that ended with err says about the request and the
-// parts of its prompt. If an endpoint crashed before the first event, each of them may be the
-// cause.
+// parts of its prompt. If an endpoint crashed, each of them may be the cause, however far the
+// answer had got, unless the attempt was proven.
 func (s *stream) recordEvidence(ctx context.Context, a *attempt, err error) finding {
 	x := s.proxier
 	out := finding{
@@ -120,16 +143,20 @@
 		state:    endpointsNotAsked,
 		charge:   chargeNothing,
 	}
-	if a.progressed.Load() && a.failed.Endpoint == "" {
+	if err == nil {
 		x.Quarantiner.RecordAnswer(time.Now(), s.keys)
 		return out
 	}
 	first := a.chain()[0]
-	if s.resumed() || !a.unanswered() {
+	if a.proven() {
 		x.checkLater(err, first.EndpointIncarnation, first.Address, nil)
 		return out
 	}
-	failed, crashed := x.crashed(ctx, a, err)
+	stages := a.accused(err)
+	if len(stages) == 0 {
+		return out
+	}
+	failed, crashed := x.crashed(ctx, stages, a.sentAt, err)
 	out.state = endpointStateOf(crashed)
 	if !crashed || ctx.Err() != nil {
 		if x.checkLater(err, first.EndpointIncarnation, first.Address, s.keys) {
@@ -140,7 +167,7 @@
 	}
 	keys := s.keys
 	out.charge = chargeRequest
-	if !errors.Is(err, exchanger.ErrLost) && !x.refuses(ctx, addressOf(a.chain(), failed)) {
+	if isUnresponsive(err) && !x.hasEnded(ctx, failed, addressOf(a.chain(), failed)) {
 		keys = keys[1:]
 		out.charge = chargeParts
 	}
@@ -148,6 +175,22 @@
 	return out
 }
 
+// accused returns the stages of the attempt's chain of which one may have crashed under it.
+func (a *attempt) accused(err error) []identifier.Stage {
+	chain := a.chain()
+	switch {
+	case errors.Is(err, exchanger.ErrLost), isUnresponsive(err):
+		return chain
+	}
+	return nil
+}
+
+// isUnresponsive reports whether err is the silence of an endpoint.
+func isUnresponsive(err error) bool {
+	var stage *stageError
+	return errors.As(err, &stage) && stage.detail == reasonUnresponsive
+}
+
 // recordCrash records the crash of an endpoint under keys, which may be none.
 func (x *Proxier) recordCrash(incarnation identifier.EndpointIncarnation, keys []quarantiner.Key, c charge) {
 	now := time.Now()
@@ -155,14 +198,23 @@
 	x.Quarantiner.RecordCrash(now, incarnation, keys)
 }
 
-// recordSilence records that an endpoint may have crashed under the parts of a prompt that it
-// had begun to answer. If it has not, the answer shows it. The result is false if the endpoint
-// was not at the request's first event.
-func (s *stream) recordSilence(a *attempt, cause *stageError) bool {
-	if len(s.job.Request.Parts) == 0 || s.resumed() || !a.unanswered() || cause.detail != reasonUnresponsive {
+// recordSilence records that an endpoint that is silent may have crashed under a stream that is
+// not proven. If nothing listens any more at its address, it has, and the request may be the
+// cause; otherwise the parts of a prompt whose answer had not begun may be. The result is
+// false if nothing was recorded.
+func (s *stream) recordSilence(ctx context.Context, a *attempt, cause *stageError) bool {
+	x := s.proxier
+	if a.proven() || cause.detail != reasonUnresponsive {
 		return false
 	}
-	s.proxier.recordCrash(cause.incarnation, s.keys[1:], chargeParts)
+	if x.hasEnded(ctx, cause.incarnation, addressOf(a.chain(), cause.incarnation)) {
+		x.recordCrash(cause.incarnation, s.keys, chargeRequest)
+		return true
+	}
+	if len(s.job.Request.Parts) == 0 || s.resumed() || a.progress() != answerHeader {
+		return false
+	}
+	x.recordCrash(cause.incarnation, s.keys[1:], chargeParts)
 	return true
 }
 
@@ -171,33 +223,36 @@
 	return s.lastEvent.Load() > s.job.Request.LastEvent
 }
 
-// recordProgress records the first event of an attempt: the request crashed no endpoint.
-func (s *stream) recordProgress() {
-	s.proxier.Quarantiner.RecordAnswer(time.Now(), s.keys[:1])
-}
-
-// crashed returns the endpoint of the attempt's chain that ended, and whether there is one. A
-// lost connection alone does not show that: the endpoints are asked for a report, unless the
-// caller's time is over or the caller left, which ends the connection as well.
-func (x *Proxier) crashed(ctx context.Context, a *attempt, err error) (identifier.EndpointIncarnation, bool) {
+// crashed returns which of the stages ended under a run that was sent at the given time and
+// ended with err, and whether one did. A lost connection or a refusal alone does not show that: the
+// endpoints are asked for a report, unless the caller's time is over or the caller left, which
+// ends the connection as well.
+func (x *Proxier) crashed(ctx context.Context, stages []identifier.Stage, sentAt time.Time, err error) (identifier.EndpointIncarnation, bool) {
 	var stage *stageError
 	if errors.As(err, &stage) {
 		return stage.incarnation, stage.detail == reasonUnresponsive
 	}
-	if !errors.Is(err, exchanger.ErrLost) {
+	if ctx.Err() != nil {
 		return identifier.EndpointIncarnation{}, false
 	}
-	if ctx.Err() != nil {
+	ended, ok := x.endedStage(ctx, stages)
+	if at, known := x.Quarantiner.CrashedAt(ended); known && at.Before(sentAt) {
 		return identifier.EndpointIncarnation{}, false
 	}
-	for _, s := range a.chain() {
-		crashed := x.reports.crashed(s.EndpointIncarnation, func() bool {
+	return ended, ok
+}
+
+// endedStage returns the first of the stages that answers no question, and whether there is one.
+func (x *Proxier) endedStage(ctx context.Context, stages []identifier.Stage) (identifier.EndpointIncarnation, bool) {
+	since := time.Now()
+	for _, s := range stages {
+		ended := x.reports.crashed(s.EndpointIncarnation, since, func() bool {
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 			defer cancel()
 			_, err := x.Orderer.Report(ctx, s.Address)
 			return err != nil
 		})
-		if crashed {
+		if ended {
 			return s.EndpointIncarnation, true
 		}
 	}
@@ -207,6 +262,11 @@
 // dialTimeout limits the wait for a connection to an endpoint that may have ended.
 const dialTimeout = 100 * time.Millisecond
 
+// hasEnded reports whether nothing listens any more at the address of an endpoint.
+func (x *Proxier) hasEnded(ctx context.Context, incarnation identifier.EndpointIncarnation, address string) bool {
+	return x.ends.crashed(incarnation, time.Now(), func() bool { return x.refuses(ctx, address) })
+}
+
 // refuses reports whether nothing listens at an address any more.
 func (x *Proxier) refuses(ctx context.Context, address string) bool {
 	return errors.Is(x.dial(ctx, address), syscall.ECONNREFUSED)
@@ -232,7 +292,7 @@
 	if run.cut || !errors.Is(run.err, exchanger.ErrLost) {
 		return
 	}
-	crashed := x.reports.crashed(e.EndpointIncarnation, func() bool { return x.dial(ctx, e.Address) != nil })
+	crashed := x.reports.crashed(e.EndpointIncarnation, time.Now(), func() bool { return x.dial(ctx, e.Address) != nil })
 	run.finding.state = endpointStateOf(crashed)
 	if crashed {
 		run.finding.charge = chargeRequest
@@ -256,78 +316,78 @@
 
 // crashReport is the result of asking an endpoint.
 type crashReport struct {
-	at      time.Time
+	askedAt time.Time
 	crashed bool
 }
 
-const (
-	// reportRetention is how long the result is used that an endpoint crashed, and
-	// soundRetention that it did not: it may at any time.
-	reportRetention = time.Second
-	soundRetention  = 100 * time.Millisecond
-)
+// reportRetention is how long the result is used that an endpoint crashed. That it did not is
+// used only if it was asked since: it may have crashed an instant later.
+const reportRetention = time.Second
 
-// fresh reports whether the result is still used.
-func (r crashReport) fresh(now time.Time) bool {
+// tells reports whether the result tells what became of an endpoint since the given time.
+func (r crashReport) tells(now, since time.Time) bool {
 	if r.crashed {
-		return now.Sub(r.at) < reportRetention
+		return now.Sub(r.askedAt) < reportRetention
 	}
-	return now.Sub(r.at) < soundRetention
+	return !r.askedAt.Before(since)
 }
 
-// crashed returns the recent result for an endpoint, or that of ask.
-func (c *crashReports) crashed(incarnation identifier.EndpointIncarnation, ask func() bool) bool {
-	if r, ok := c.recent(incarnation); ok {
-		return r.crashed
-	}
-	// The function returns no error.
-	result, _, _ := c.group.Do(incarnation.String(), func() (any, error) {
-		if r, ok := c.recent(incarnation); ok {
-			return r.crashed, nil
+// crashed returns the result for an endpoint of a question since the given time, or that of ask.
+func (c *crashReports) crashed(incarnation identifier.EndpointIncarnation, since time.Time, ask func() bool) bool {
+	for {
+		if r, ok := c.recent(incarnation, since); ok {
+			return r.crashed
 		}
-		crashed := ask()
-		c.add(incarnation, crashed)
-		return crashed, nil
-	})
-	return result.(bool)
+		// The function returns no error.
+		_, _, _ = c.group.Do(incarnation.String(), func() (any, error) {
+			askedAt := time.Now()
+			c.add(incarnation, crashReport{
+				askedAt: askedAt,
+				crashed: ask(),
+			})
+			return nil, nil
+		})
+	}
 }
 
-func (c *crashReports) recent(incarnation identifier.EndpointIncarnation) (crashReport, bool) {
+func (c *crashReports) recent(incarnation identifier.EndpointIncarnation, since time.Time) (crashReport, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r, ok := c.results[incarnation]
-	return r, ok && r.fresh(time.Now())
+	return r, ok && r.tells(time.Now(), since)
 }
 
 // add adds a result and drops those that are too old.
-func (c *crashReports) add(incarnation identifier.EndpointIncarnation, crashed bool) {
+func (c *crashReports) add(incarnation identifier.EndpointIncarnation, r crashReport) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.results == nil {
 		c.results = make(map[identifier.EndpointIncarnation]crashReport)
 	}
 	now := time.Now()
-	maps.DeleteFunc(c.results, func(_ identifier.EndpointIncarnation, r crashReport) bool { return !r.fresh(now) })
-	c.results[incarnation] = crashReport{
-		at:      now,
-		crashed: crashed,
-	}
+	maps.DeleteFunc(c.results, func(_ identifier.EndpointIncarnation, r crashReport) bool {
+		return now.Sub(r.askedAt) >= reportRetention
+	})
+	c.results[incarnation] = r
 }
 
 // addressOf returns the address of an endpoint incarnation in a chain.
 func addressOf(chain []identifier.Stage, incarnation identifier.EndpointIncarnation) string {
-	for _, s := range chain {
-		if s.EndpointIncarnation == incarnation {
-			return s.Address
-		}
+	if stages := stagesOf(chain, incarnation); len(stages) > 0 {
+		return stages[0].Address
 	}
 	return chain[0].Address
 }
 
+// stagesOf returns the stages of a chain at an endpoint incarnation.
+func stagesOf(chain []identifier.Stage, incarnation identifier.EndpointIncarnation) []identifier.Stage {
+	return slices.DeleteFunc(slices.Clone(chain), func(s identifier.Stage) bool { return s.EndpointIncarnation != incarnation })
+}
+
 // awaitVerdict waits, if the request may have crashed its endpoint, until the verdict on
 // its parts can be known.
 func (s *stream) awaitVerdict(ctx context.Context) {
-	if len(s.job.Request.Parts) == 0 || !s.finding.crashed() {
+	if !s.finding.crashed() || len(s.job.Request.Parts) == 0 || s.trusted() {
 		return
 	}
 	sleep(ctx, verdictDelay)
--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -25,12 +25,13 @@
 	defer stop()
 	defer context.AfterFunc(a.ctx, stop)()
 	err := a.moveInTurn(ctx, move, cause, own)
-	if errors.Is(err, errResumed) {
+	switch {
+	case errors.Is(err, errResumed):
 		a.forgive()
-		return
-	}
-	if err != nil {
+	case err != nil:
 		a.handOver(ctx, cause)
+	default:
+		a.stream.recordSilence(ctx, a, cause)
 	}
 }
 
@@ -43,7 +44,7 @@
 	if !a.startSearch(stop, cause) {
 		return
 	}
-	if a.stream.recordSilence(a, cause) {
+	if a.stream.recordSilence(ctx, a, cause) && !a.stream.trusted() {
 		// The request may have crashed the endpoint.
 		sleep(search, verdictDelay)
 	}
--- a/router/proxier/lostruns.go
+++ b/router/proxier/lostruns.go
@@ -74,7 +74,7 @@
 	var group errgroup.Group
 	for _, r := range runs {
 		group.Go(func() error {
-			if x.reports.crashed(r.incarnation, func() bool { return x.refuses(ctx, r.address) }) {
+			if x.hasEnded(ctx, r.incarnation, r.address) {
 				c := chargeRequest
 				if len(r.keys) == 0 {
 					c = chargeNothing
--- a/router/proxier/move.go
+++ b/router/proxier/move.go
@@ -45,9 +45,10 @@
 	return max(t.Sub(a.lastSign()), 0)
 }
 
-// queueMove adds a move of the attempt; nil if it can't be moved.
+// queueMove adds a move of the attempt; nil if it can't be moved. A run that is not proven may have
+// crashed the stage that is left, and must not reach another one unless it is admitted anew.
 func (a *attempt) queueMove() *turn {
-	if containsAny(a.chain()[:1], a.avoided()) || a.stream.engine.Layers == 0 || a.unanswered() {
+	if containsAny(a.chain()[:1], a.avoided()) || a.stream.engine.Layers == 0 || !a.movable() {
 		return nil
 	}
 	job := a.stream.job
@@ -58,6 +59,19 @@
 	})
 }
 
+// movable reports whether what is known of the request lets another stage run it without being
+// asked anew: it is proven, or has begun to answer and no endpoint crashed under the same request
+// or a suspected part before.
+func (a *attempt) movable() bool {
+	if a.proven() {
+		return true
+	}
+	if a.progress() == answerHeader {
+		return false
+	}
+	return !a.stream.proxier.Quarantiner.Suspects(time.Now(), a.stream.keys)
+}
+
 // expectEvent returns a channel that gets the time of the next event. It is closed without one
 // if the next event is expected anew.
 func (a *attempt) expectEvent() <-chan time.Time {
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -90,6 +90,7 @@
 
 	quota    byteQuota
 	reports  crashReports
+	ends     crashReports
 	lostRuns lostRuns
 	tally    crashTally
 	turns    turns
--- a/router/proxier/reroute.go
+++ b/router/proxier/reroute.go
@@ -169,6 +169,7 @@
 	finished := a.finished
 	if !finished {
 		a.movedAt.Store(&m.orderedAt)
+		a.proving.proven.Store(false)
 		a.ticket = ticket
 		a.givenUp = slices.DeleteFunc(a.givenUp, func(i identifier.EndpointIncarnation) bool { return !contains(ticket.Chain, i) })
 	}
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -48,8 +48,12 @@
 	timing    timing
 	// chain is the last chain that was used.
 	chain []identifier.Stage
-	// finding is what the end of the last run showed.
+	// finding is what the end of the last run showed, and crashes counts the runs under which
+	// an endpoint crashed that the request may be the cause of.
 	finding finding
+	crashes int
+	// suspect is set if the request was suspected when it was last sent.
+	suspect bool
 	// next is the next attempt, if it has begun already.
 	next *attempt
 	// sharedRetry is set if the next chain is for a retry out of the owner's budget.
@@ -184,6 +188,10 @@
 	err = a.run(ctx)
 	s.finish(a)
 	s.finding = s.recordEvidence(ctx, a, err)
+	if s.finding.crashed() {
+		s.crashes++
+		s.suspect = s.suspect || a.pass.Suspect()
+	}
 	if a.failed.Endpoint != "" {
 		s.addAvoided(a.failed)
 	}
--- a/router/quarantiner/claim.go
+++ b/router/quarantiner/claim.go
@@ -37,7 +37,7 @@
 // claim claims a whole request for a pass, unless no endpoint crashed under it. It returns
 // why the request may not be sent now, and whether there is a new claim.
 func (q *Quarantiner) claim(now time.Time, p *Pass, key Key) (*Refusal, bool) {
-	v, ok := q.crashed(key)
+	v, ok := q.crashOf(key)
 	if !ok {
 		return nil, false
 	}
@@ -61,7 +61,7 @@
 
 // checkClaim returns why a request with a pass may no longer be sent; nil if it may.
 func (q *Quarantiner) checkClaim(now time.Time, p *Pass, key Key) *Refusal {
-	v, ok := q.crashed(key)
+	v, ok := q.crashOf(key)
 	switch {
 	case !ok:
 		return nil
@@ -73,9 +73,9 @@
 	return held(now, key, v, now.Add(claimDelay))
 }
 
-// crashed returns the verdict on a whole request by the crashes that are known of, without
+// crashOf returns the verdict on a whole request by the crashes that are known of, without
 // waiting for them to settle; false if there are none.
-func (q *Quarantiner) crashed(key Key) (Verdict, bool) {
+func (q *Quarantiner) crashOf(key Key) (Verdict, bool) {
 	r, ok := q.records[key]
 	if !ok || key.Scope != WholeRequest {
 		return Verdict{}, false
--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -143,7 +143,9 @@
 	changed := false
 	for _, c := range p.GetCrashes() {
 		if age := age(c.GetAgeMs()); age <= kept {
-			changed = r.addCrash(incarnationOf(c.GetEndpoint()), now.Add(-age)) || changed
+			incarnation := incarnationOf(c.GetEndpoint())
+			q.crashed.add(now.Add(-age), incarnation)
+			changed = r.addCrash(incarnation, now.Add(-age)) || changed
 		}
 	}
 	answered, released := r.answered, r.released
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -63,6 +63,7 @@
 	answers  recentAnswers
 	tests    map[Key]time.Time
 	tested   map[Key]time.Time
+	crashed  recentCrashes
 	claims   map[Key][]*claim
 	verdicts map[Key]Verdict
 	judgedAt time.Time
@@ -94,6 +95,16 @@
 	claimed []Key
 }
 
+// Alone reports whether the request is sent alone, since an endpoint crashed under the same one.
+func (p *Pass) Alone() bool {
+	return len(p.claimed) > 0
+}
+
+// Suspect reports whether the request, or a part of it, is suspected or condemned.
+func (p *Pass) Suspect() bool {
+	return len(p.claimed) > 0 || len(p.tests) > 0
+}
+
 // RecordSent records that the request is sent to an endpoint. A test that was sent is not
 // repeated at once, whatever becomes of it.
 func (p *Pass) RecordSent(now time.Time) {
@@ -288,6 +299,9 @@
 func (q *Quarantiner) RecordCrash(now time.Time, incarnation identifier.EndpointIncarnation, keys []Key) {
 	q.mu.Lock()
 	news := false
+	if len(keys) > 0 {
+		q.crashed.add(now, incarnation)
+	}
 	for _, key := range keys {
 		r := q.record(now, key)
 		if r == nil || !r.addCrash(incarnation, now) {
@@ -330,6 +344,27 @@
 	return true
 }
 
+// Suspects reports whether a request with the given keys would be sent alone, later or not at
+// all.
+func (q *Quarantiner) Suspects(now time.Time, keys []Key) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if suspects, _ := q.suspects(now, keys); len(suspects) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(keys, func(key Key) bool {
+		_, ok := q.crashOf(key)
+		return ok
+	})
+}
+
+// CrashedAt returns when an endpoint crashed, as far as any instance knows, if it is not long ago.
+func (q *Quarantiner) CrashedAt(incarnation identifier.EndpointIncarnation) (time.Time, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.crashed.at(incarnation)
+}
+
 // Release makes the crashes so far count no longer against a key. It reports whether
 // the key is known.
 func (q *Quarantiner) Release(now time.Time, key Key) bool {
