Charge a request with the end of a later stage that a refusal names

Cause: a refusal was taken for the word that nothing had run, here as in the retries. That the stage that it names has just ended was not looked at.

Now the stage that a refusal names is asked for a report, once for all refusals since. If it has ended, and no instance saw that before the request was sent, the request and its parts are charged, and it waits for the verdict. A stage that is only full answers, and costs one question.

--- a/router/proxier/endings_test.go
+++ b/router/proxier/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,7 +16,10 @@
 
 	"heatherhold.dev/core/cataloguer"
 	"heatherhold.dev/core/courier"
+	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
+	"heatherhold.dev/core/messenger"
+	"heatherhold.dev/router/acquirer"
 	"heatherhold.dev/router/proxier"
 	"heatherhold.dev/router/quarantiner"
 )
@@ -79,6 +83,74 @@
 	}
 }
 
+// laterStages grants chains of one first stage and a later stage that is alive, in turn.
+type laterStages struct {
+	first identifier.Stage
+	later []*mortal
+	next  int
+}
+
+// Acquire grants the next chain.
+func (l *laterStages) Acquire(_ context.Context, _ identifier.Service, ask *messenger.Ask) (*acquirer.Ticket, error) {
+	for range l.later {
+		m := l.later[l.next%len(l.later)]
+		l.next++
+		if m.ended.Load() {
+			continue
+		}
+		return acquirer.NewTicket(ask, []identifier.Stage{l.first, {
+			EndpointIncarnation: m.EndpointIncarnation,
+			Address:             m.Address,
+			From:                2,
+			To:                  4,
+		}}), nil
+	}
+	return nil, errors.New("no later stage is left")
+}
+
+// Report answers for the stages that are alive.
+func (l *laterStages) Report(_ context.Context, address string) (director.Report, error) {
+	for _, m := range l.later {
+		if m.Address == address && m.ended.Load() {
+			return director.Report{}, errors.New("connection refused")
+		}
+	}
+	return director.Report{Slowdown: 1}, nil
+}
+
+// Repath is not used.
+func (l *laterStages) Repath(context.Context, identifier.Request, []identifier.Stage) (string, error) {
+	return "", director.ErrStageUnavailable
+}
+
+// TestRefusalThatNamesEndedStageForgotten guards against sending one request over stage after
+// stage because the first one refuses it for each that ended under it.
+func TestRefusalThatNamesEndedStageForgotten(t *testing.T) {
+	l := &laterStages{}
+	for i := range 12 {
+		m := &mortal{}
+		m.Endpoint.Endpoint = identifier.Endpoint(fmt.Sprint("later", i))
+		m.Incarnation = 1
+		m.Address = fmt.Sprintf("127.0.0.1:%d", i+1)
+		l.later = append(l.later, m)
+	}
+	first := newEndpoint(t, "first", func(_ int, w io.Writer) {
+		stage := l.later[(l.next-1)%len(l.later)]
+		stage.ended.Store(true)
+		fmt.Fprintf(w, "HTTP/1.1 503 X\r\nId: r1\r\nStamp: s\r\nNot-Run: 1\r\nAt-Fault: %s\r\nContent-Length: 0\r\n\r\n", stage.Address)
+	})
+	l.first = stage(first, 0, 2)
+	f := newFixture(cataloguer.Resumable, true)
+	f.proxier.Tickets = l
+	f.proxier.Orderer = l
+	for range 4 {
+		_ = serveBody(f, deadlyBody)
+	}
+	if got := countEnded(l.later); got == 0 || got > maxLostToRequest {
+		t.Errorf("got %d endpoints ended under one request, want 1 to %d", got, maxLostToRequest)
+	}
+}
+
 // TestGroupOfLoadedEndpointsCondemnsRequests requires that endpoints that end together, each with
 // streams that have just begun, condemn neither a request nor a part, and that streams with events
 // go on at once.
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -175,12 +175,16 @@
 	return out
 }
 
-// accused returns the stages of the attempt's chain of which one may have crashed under it.
+// accused returns the stages of the attempt's chain of which one may have crashed under it: all
+// if the connection was lost, and that which another stage names if the request was refused
+// for it.
 func (a *attempt) accused(err error) []identifier.Stage {
 	chain := a.chain()
 	switch {
 	case errors.Is(err, exchanger.ErrLost), isUnresponsive(err):
 		return chain
+	case errors.Is(err, errNotRun) && a.failed != chain[0].EndpointIncarnation:
+		return stagesOf(chain, a.failed)
 	}
 	return nil
 }
