Take a status that no response has for a lost exchange

Seen at other systems (MIXED): an endpoint in trouble sent status 000, and the client got it as an answer.

What this system did: on the users' platform every status under 200 was taken for an interim response. 000 made the request wait until its deadline (5 s of 5 s in the test), or the next bytes on the connection were taken for its answer; 600 and 999 were passed on. On the project's own interface 000, 099, 101 and 600 were passed on. A write to the store whose response had such a status counted as rejected, though it may have been committed.

Now a response ends an exchange only with 200 to 599, and only 100 and 102 to 199 are interim. Anything else ends the attempt at once: the endpoint may have run the request, the caller gets 502 without a signature, and the write's outcome is unknown.

--- a/router/exchanger/response.go
+++ b/router/exchanger/response.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"heatherhold.dev/core/courier"
 )
 
 // Response is an endpoint's response. The caller must end it with Close or Discard.
@@ -82,10 +84,13 @@
 		if err != nil {
 			return err
 		}
-		if res.StatusCode < http.StatusOK {
+		if courier.IsInterimStatus(res.StatusCode) {
 			_ = res.Body.Close()
 			continue
 		}
+		if !courier.IsFinalStatus(res.StatusCode) {
+			return errors.Errorf("the endpoint sent status %d, which no response has", res.StatusCode)
+		}
 		if !req.Matches(res.StatusCode, res.Header) {
 			r.skippedOther = true
 			if err := r.discardBody(res.Body); err != nil {
--- a/router/forwarder/forwarder.go
+++ b/router/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"heatherhold.dev/core/classifier"
+	"heatherhold.dev/core/courier"
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/claimer"
 	"heatherhold.dev/router/publisher"
@@ -240,6 +241,9 @@
 		return nil, err
 	}
 	defer res.Body.Close()
+	if !courier.IsFinalStatus(res.StatusCode) {
+		return nil, errors.Errorf("the endpoint sent status %d, which no response has", res.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, responseLimit+1))
 	if err != nil {
 		return nil, err
