Spend less processor time on exchanges about suspects

Cause: each exchange hashed all records anew, looked for keys to forget and sorted them by their last crash, which was searched for at each comparison. There are some hundred records now, and had been a few.

A record keeps its hash until it changes and the time of its last crash; keys to be forgotten are looked for once a second; a message is sorted only if it must be cut. Pushes are 40 ms apart.

--- a/router/controller/controller.go
+++ b/router/controller/controller.go
@@ -176,7 +176,7 @@
 const pushFanout = 3
 
 // pushPause is the least time between two pushes, so that news that come together travel together.
-const pushPause = 20 * time.Millisecond
+const pushPause = 40 * time.Millisecond
 
 // pushUpdates exchanges with some peers as soon as there is a new revision or
 // mark, without waiting for the exchange interval.
--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -70,8 +70,8 @@
 	return q.message(now, func(r *record) bool { return differs && match(r) })
 }
 
-// message returns a message with the records that match, those with the most recent
-// crashes first.
+// message returns a message with the records that match. If there are too many, it has those
+// with the most recent crashes.
 func (q *Quarantiner) message(now time.Time, match func(*record) bool) *messenger.Quarantine {
 	m := &messenger.Quarantine{
 		Digest:   q.digest(),
@@ -83,8 +83,11 @@
 			keys = append(keys, key)
 		}
 	}
-	q.sortByCrash(keys)
-	for _, key := range keys[:min(len(keys), maxSent)] {
+	if len(keys) > maxSent {
+		q.sortByCrash(keys)
+		keys = keys[:maxSent]
+	}
+	for _, key := range keys {
 		m.Parts = append(m.Parts, q.records[key].wire(now, key))
 	}
 	m.Parts = append(m.Parts, q.wireClaims(now)...)
@@ -153,7 +156,7 @@
 	r.released = mergeEvent(now, released, p.GetReleased())
 	changed = changed || answered.id != r.answered.id || released.id != r.released.id
 	if changed {
-		r.changedAt = now
+		r.change(now)
 		q.reportAnswer(now, key, r)
 	}
 	return changed
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -68,6 +68,8 @@
 	verdicts map[Key]Verdict
 	judgedAt time.Time
 	lost     int
+	// expiredAt is when keys that are to be forgotten were last looked for.
+	expiredAt time.Time
 
 	complete bool
 	// delivered is when each peer last got what had changed, and wholeAt when one last got all.
@@ -307,7 +309,7 @@
 		if r == nil || !r.addCrash(incarnation, now) {
 			continue
 		}
-		r.changedAt = now
+		r.change(now)
 		q.reportAnswer(now, key, r)
 		news = true
 	}
@@ -340,7 +342,7 @@
 		id: rand.Uint64() | 1,
 		at: at,
 	}
-	r.changedAt = now
+	r.change(now)
 	return true
 }
 
@@ -375,7 +377,7 @@
 			id: rand.Uint64() | 1,
 			at: now,
 		}
-		r.changedAt = now
+		r.change(now)
 	}
 	q.mu.Unlock()
 	q.announce(ok)
@@ -441,8 +443,15 @@
 	return retention
 }
 
+// expireInterval is the least time between two looks for keys that are to be forgotten.
+const expireInterval = time.Second
+
 // expire removes the keys whose last crash is too long ago.
 func (q *Quarantiner) expire(now time.Time) {
+	if age := now.Sub(q.expiredAt); age >= 0 && age < expireInterval && len(q.records) < maxRecords {
+		return
+	}
+	q.expiredAt = now
 	maps.DeleteFunc(q.records, func(key Key, r *record) bool { return now.Sub(r.lastCrash()) > retentionOf(key.Scope) })
 	maps.DeleteFunc(q.tested, func(key Key, _ time.Time) bool { return q.records[key] == nil })
 }
--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -65,22 +65,36 @@
 	scope Scope
 	// crashes holds the endpoints that crashed while they began to answer a request with
 	// the key, and when.
-	crashes  map[identifier.EndpointIncarnation]time.Time
+	crashes map[identifier.EndpointIncarnation]time.Time
+	// newest is when the last of them crashed.
+	newest   time.Time
 	answered event
 	released event
-	// changedAt is when the record last changed here.
+	// changedAt is when the record last changed here, and hash the hash of it; 0 if that was
+	// not computed since.
 	changedAt time.Time
+	hash      uint64
+}
+
+// change records that the record changed at now.
+func (r *record) change(now time.Time) {
+	r.changedAt = now
+	r.hash = 0
 }
 
 // lastCrash returns the time of the newest crash.
 func (r *record) lastCrash() time.Time {
-	var last time.Time
+	return r.newest
+}
+
+// findNewest finds the time of the newest crash.
+func (r *record) findNewest() {
+	r.newest = time.Time{}
 	for _, at := range r.crashes {
-		if at.After(last) {
-			last = at
+		if at.After(r.newest) {
+			r.newest = at
 		}
 	}
-	return last
 }
 
 // addCrash adds a crash and reports whether the record changed.
@@ -89,6 +103,7 @@
 	if ok {
 		if at.Before(old) {
 			r.crashes[incarnation] = at
+			r.findNewest()
 		}
 		return false
 	}
@@ -100,6 +115,9 @@
 		delete(r.crashes, oldest)
 	}
 	r.crashes[incarnation] = at
+	if at.After(r.newest) {
+		r.newest = at
+	}
 	return true
 }
 
@@ -144,6 +162,13 @@
 
 // digest returns a hash of the record.
 func (r *record) digest(key Key) uint64 {
+	if r.hash == 0 {
+		r.hash = r.computeDigest(key)
+	}
+	return r.hash
+}
+
+func (r *record) computeDigest(key Key) uint64 {
 	d := xxhash.New()
 	write := func(s string) {
 		// Writing to a hash can't fail.
