Test a condemned part ten seconds after its third crash

The first test came a second after the crash, while the endpoints of the three crashes were still restarting and loading: each test that ended another one took a third of a quarter's holders away again. A part that is condemned by mistake was not answered for 30 s, so that its requests are rare; ten seconds are short for them.

--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -27,7 +27,7 @@
 	// firstTestDelay is how long after the last crash a part with condemnedCrashes is tested, which
 	// clears one that many sound requests share, and secondTestDelay the same after the
 	// next crash.
-	firstTestDelay  = time.Second
+	firstTestDelay  = 10 * time.Second
 	secondTestDelay = 30 * time.Second
 	// lateTestDelay is that after further crashes. It doubles with each one, up to
 	// maxTestDelay: each test may cost an endpoint, and operators can release a part.
