Let suspected requests start at endpoints with few streams

Where a suspect runs was not chosen. Now the instance leaves out the endpoints at which more than half as many of its streams start as at the busiest one, for up to 0.2 s; then any chain will do. What runs with it still ends: a place of its own would need the pool's owner.

--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -95,7 +95,7 @@
 // sent would count against it.
 func (s *stream) acquireLiving(ctx context.Context, pass *quarantiner.Pass) (*acquirer.Ticket, error) {
 	for {
-		ticket, err := s.acquireTicket(ctx)
+		ticket, err := s.acquireApart(ctx, pass)
 		if err != nil || !pass.Alone() {
 			return ticket, err
 		}
