Ask a crashed endpoint once, also where the first answer comes between two steps

The change of what a crash is charged to lost a second look at the results, so that a stream whose crash was known by the time of its turn asked again.

--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -344,6 +344,9 @@
 		}
 		// The function returns no error.
 		_, _, _ = c.group.Do(incarnation.String(), func() (any, error) {
+			if _, ok := c.recent(incarnation, since); ok {
+				return nil, nil
+			}
 			askedAt := time.Now()
 			c.add(incarnation, crashReport{
 				askedAt: askedAt,
