Know a request again whose query differs

The users say that a request which crashes endpoints comes again with the same path, caller and body. Its fingerprint held the query as well, and the requests of their record have one: if it differs each time, each request is a new one and each ends an endpoint.

A request with a query and a body has a second key without the query. One without a body is told apart by its query, as before. Both keys are claimed before either is used, so that they don't wait for each other (TestSecondKeyHoldsRequestTwice).

--- a/router/proxier/endings_test.go
+++ b/router/proxier/endings_test.go
@@ -83,6 +83,39 @@
 	}
 }
 
+// TestRequestSentOnUnderOtherQueries guards against sending a request with the same path and body to
+// endpoint after endpoint because its query differs each time. Requests with other bodies, or without
+// one, are told apart.
+func TestRequestSentOnUnderOtherQueries(t *testing.T) {
+	f, endpoints := newMortals(t, 0)
+	serve := func(uri, body string) error {
+		_, err := f.proxier.Serve(context.Background(), httptest.NewRecorder(), proxier.Job{
+			Request: &courier.Request{
+				ID:     "r1",
+				Method: http.MethodPost,
+				Host:   "h",
+				URI:    uri,
+				Body:   []byte(body),
+			},
+			Route:    &f.route,
+			Service:  "s",
+			Deadline: time.Now().Add(2 * time.Second),
+		})
+		return err
+	}
+	for i := range 8 {
+		_ = serve(fmt.Sprintf("/x?q=%d", i), deadlyBody)
+		for _, body := range []string{"", "sound"} {
+			if err := serve(fmt.Sprintf("/x?q=%d", i), body); err != nil {
+				t.Errorf("body %q: got error %v for a sound request, want none", body, err)
+			}
+		}
+	}
+	if got := countEnded(endpoints); got == 0 || got > maxLostToRequest {
+		t.Errorf("got %d endpoints ended under one request, want 1 to %d", got, maxLostToRequest)
+	}
+}
+
 // laterStages grants chains of one first stage and a later stage that is alive, in turn.
 type laterStages struct {
 	first identifier.Stage
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -168,7 +168,7 @@
 	keys := s.keys
 	out.charge = chargeRequest
 	if isUnresponsive(err) && !x.hasEnded(ctx, failed, addressOf(a.chain(), failed)) {
-		keys = keys[1:]
+		keys = partKeysOf(s.job)
 		out.charge = chargeParts
 	}
 	x.recordCrash(failed, keys, out.charge)
@@ -218,7 +218,7 @@
 	if len(s.job.Request.Parts) == 0 || s.resumed() || a.progress() != answerHeader {
 		return false
 	}
-	x.recordCrash(cause.incarnation, s.keys[1:], chargeParts)
+	x.recordCrash(cause.incarnation, partKeysOf(s.job), chargeParts)
 	return true
 }
 
--- a/router/proxier/fingerprint.go
+++ b/router/proxier/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 
 	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/quarantiner"
@@ -12,12 +13,12 @@
 // fingerprintBytes is how much of the hash of a request is its fingerprint.
 const fingerprintBytes = 16
 
-// fingerprintOf returns the fingerprint of a job's request. Each field is hashed with its
-// length, so that no two requests have the same input.
-func fingerprintOf(j Job) identifier.Fingerprint {
+// fingerprintOf returns the fingerprint of a job's request with the given URI. Each field is hashed
+// with its length, so that no two requests have the same input.
+func fingerprintOf(j Job, uri string) identifier.Fingerprint {
 	r := j.Request
 	h := sha256.New()
-	for _, field := range [][]byte{[]byte(r.Method), []byte(r.Host), []byte(r.URI), []byte(j.Customer), r.Body} {
+	for _, field := range [][]byte{[]byte(r.Method), []byte(r.Host), []byte(uri), []byte(j.Customer), r.Body} {
 		var size [8]byte
 		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
 		// Writing to a hash can't fail.
@@ -27,12 +28,28 @@
 	return identifier.Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
-// keysOf returns the keys under which crashes and answers of a job's request are recorded,
-// that of the whole request first.
-func keysOf(j Job) []quarantiner.Key {
-	keys := []quarantiner.Key{quarantiner.RequestKey(fingerprintOf(j))}
+// requestKeysOf returns the keys of a job's whole request. One with a body has a second one if it has
+// a query as well: callers may send it again with another query.
+func requestKeysOf(j Job) []quarantiner.Key {
+	uri := j.Request.URI
+	keys := []quarantiner.Key{quarantiner.RequestKey(fingerprintOf(j, uri))}
+	if path, _, ok := strings.Cut(uri, "?"); ok && len(j.Request.Body) > 0 {
+		keys = append(keys, quarantiner.RequestKey(fingerprintOf(j, path)))
+	}
+	return keys
+}
+
+// partKeysOf returns the keys of the shared parts of a job's prompt.
+func partKeysOf(j Job) []quarantiner.Key {
+	var keys []quarantiner.Key
 	for _, part := range j.Request.Parts {
 		keys = append(keys, quarantiner.PartKey(part))
 	}
 	return keys
 }
+
+// keysOf returns the keys under which crashes and answers of a job's request are recorded,
+// those of the whole request first.
+func keysOf(j Job) []quarantiner.Key {
+	return append(requestKeysOf(j), partKeysOf(j)...)
+}
--- a/router/quarantiner/claim.go
+++ b/router/quarantiner/claim.go
@@ -34,29 +34,56 @@
 	ended bool
 }
 
-// claim claims a whole request for a pass, unless no endpoint crashed under it. It returns
-// why the request may not be sent now, and whether there is a new claim.
-func (q *Quarantiner) claim(now time.Time, p *Pass, key Key) (*Refusal, bool) {
+// claimAll claims the keys of a whole request for a pass. It returns why the request may not be
+// sent now, and whether there is a new claim.
+func (q *Quarantiner) claimAll(now time.Time, p *Pass, keys []Key) (*Refusal, bool) {
+	var claims []*claim
+	var refused *Refusal
+	news := false
+	for _, key := range keys {
+		c, refusal, isNew := q.claim(now, key)
+		news = news || isNew
+		switch {
+		case refusal != nil && refusal.Hold <= 0:
+			return refusal, news
+		case refusal != nil && (refused == nil || refusal.Hold > refused.Hold):
+			refused = refusal
+		case c != nil:
+			claims = append(claims, c)
+			p.claimed = append(p.claimed, key)
+		}
+	}
+	if refused != nil {
+		p.claimed = nil
+		return refused, news
+	}
+	for _, c := range claims {
+		c.used = true
+	}
+	return nil, false
+}
+
+// claim claims a whole request, unless no endpoint crashed under it. It returns the claim, or why
+// the request may not be sent now, and whether the claim is new.
+func (q *Quarantiner) claim(now time.Time, key Key) (*claim, *Refusal, bool) {
 	v, ok := q.crashOf(key)
 	if !ok {
-		return nil, false
+		return nil, nil, false
 	}
 	if v.Condemned && now.Before(v.TestAt) {
-		return refusal(now, key, v), false
+		return nil, refusal(now, key, v), false
 	}
 	c, ok := q.activeClaim(now, key)
 	if !ok {
 		c = q.newClaim(now, key)
 	}
 	if !c.own || c.used {
-		return held(now, key, v, c.at.Add(claimTimeout)), false
+		return nil, held(now, key, v, c.at.Add(claimTimeout)), false
 	}
 	if ready := c.at.Add(claimDelay); now.Before(ready) {
-		return held(now, key, v, ready), !ok
+		return nil, held(now, key, v, ready), !ok
 	}
-	c.used = true
-	p.claimed = append(p.claimed, key)
-	return nil, false
+	return c, nil, !ok
 }
 
 // checkClaim returns why a request with a pass may no longer be sent; nil if it may.
--- a/router/quarantiner/evidence_test.go
+++ b/router/quarantiner/evidence_test.go
@@ -118,3 +118,25 @@
 		t.Errorf("got %d bytes a second and node, want at most %d", got, want)
 	}
 }
+
+// TestSecondKeyHoldsRequestTwice guards against claims that wait for each other, or are lost, where
+// two keys name one request.
+func TestSecondKeyHoldsRequestTwice(t *testing.T) {
+	keys := []quarantiner.Key{requestKey("with the query"), requestKey("without")}
+	f := newFleet(3)
+	f.crash("i0", keys...)
+	f.exchangeAll()
+	for _, name := range f.names {
+		start := f.now
+		pass, refusal := f.instances[name].Admit(f.now, keys)
+		for ; pass == nil; pass, refusal = f.instances[name].Admit(f.now, keys) {
+			if refusal.Hold <= 0 || f.now.Sub(start) > maxHold/2 {
+				t.Fatalf("%s: got refusal %+v after %v, want a pass", name, refusal, f.now.Sub(start))
+			}
+			f.now = f.now.Add(tick)
+			f.exchangeAll()
+		}
+		pass.End()
+		f.exchangeAll()
+	}
+}
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -146,11 +146,8 @@
 	if len(suspects) > 0 && !q.mayTest(now, suspects, v) {
 		return nil, refusal(now, suspects[0], v), false
 	}
-	for _, key := range keys {
-		refusal, news := q.claim(now, p, key)
-		if refusal != nil {
-			return nil, refusal, news
-		}
+	if refusal, news := q.claimAll(now, p, keys); refusal != nil {
+		return nil, refusal, news
 	}
 	if q.tests == nil {
 		q.tests = make(map[Key]time.Time)
