Read the crashes under a stream without a race

The search for another chain runs beside the run and asks whether the stream is trusted, while the end of a run counts its crash. Found by reading; no run under the race detector showed it.

--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -53,7 +53,7 @@
 // crash at most may be due to it, before which nothing was suspected. Nearly all such streams
 // are sound, and their callers bear only short pauses.
 func (s *stream) trusted() bool {
-	return s.resumed() && s.crashes <= 1 && !s.suspect
+	return s.resumed() && s.crashes.Load() <= 1 && !s.suspect.Load()
 }
 
 // admit returns the permission to send the request.
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -51,9 +51,9 @@
 	// finding is what the end of the last run showed, and crashes counts the runs under which
 	// an endpoint crashed that the request may be the cause of.
 	finding finding
-	crashes int
-	// suspect is set if the request was suspected when it was last sent.
-	suspect bool
+	crashes atomic.Int32
+	// suspect is set if the request was suspected when an endpoint crashed under it.
+	suspect atomic.Bool
 	// next is the next attempt, if it has begun already.
 	next *attempt
 	// sharedRetry is set if the next chain is for a retry out of the owner's budget.
@@ -189,8 +189,10 @@
 	s.finish(a)
 	s.finding = s.recordEvidence(ctx, a, err)
 	if s.finding.crashed() {
-		s.crashes++
-		s.suspect = s.suspect || a.pass.Suspect()
+		s.crashes.Add(1)
+		if a.pass.Suspect() {
+			s.suspect.Store(true)
+		}
 	}
 	if a.failed.Endpoint != "" {
 		s.addAvoided(a.failed)
