Charge a stream that was moved with the end of the stage that it left

After the move the stage was looked for in the new chain, where it is not: the first stage was asked in its place, was found alive, and the crash was charged to nothing. Had it been found, streams that had run for long would have been charged as well, since a move starts their proof anew. Address and proof are now taken before the move. A stage that is silent and takes connections is charged to parts only, whether the run was replaced or went on; the end of a run had charged it to parts also after an event.

Found by reading. TestStageEndedUnderMovedStreamForgotten fails on the code before (just begun).

--- a/router/proxier/endings_test.go
+++ b/router/proxier/endings_test.go
@@ -184,6 +184,47 @@
 	}
 }
 
+// TestStageEndedUnderMovedStreamForgotten guards against a stage that ended under a stream that had just
+// begun, and is charged to nothing because the stream was moved to another stage; and against
+// charging a stream that had run for long.
+func TestStageEndedUnderMovedStreamForgotten(t *testing.T) {
+	for name, test := range map[string]struct {
+		events int
+		want   bool
+	}{
+		"just begun": {events: 1, want: true},
+		"proven":     {events: 14, want: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, orders, tickets := newMovingFixture()
+			resume := orders.onMove("r1")
+			first := newEndpoint(t, "first", func(_ int, w io.Writer) {
+				io.WriteString(w, streamHeader)
+				for i := range test.events {
+					io.WriteString(w, chunk(i+1))
+					time.Sleep(50 * time.Millisecond)
+				}
+				<-resume
+				time.Sleep(300 * time.Millisecond)
+				io.WriteString(w, chunk(test.events+1)+"0\r\n\r\n")
+			})
+			dead := newEndpoint(t, "dead", dropConnection)
+			dead.stop()
+			orders.silent = append(orders.silent, dead.Address)
+			spare := newEndpoint(t, "spare", dropConnection)
+			tickets.first["r1.1"] = []identifier.Stage{stage(first, 0, 2), stage(dead, 2, 4)}
+			tickets.moved["r1.1"] = []identifier.Stage{stage(first, 0, 2), stage(spare, 2, 4)}
+			f.watch(t)
+			if _, err := f.serveAs("r1", &f.route, 5*time.Second); err != nil {
+				t.Errorf("got error %v for a stream that was moved, want none", err)
+			}
+			if _, got := f.proxier.Quarantiner.CrashedAt(dead.EndpointIncarnation); got != test.want {
+				t.Errorf("got crash charged %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
 // TestGroupOfLoadedEndpointsCondemnsRequests requires that endpoints that end together, each with
 // streams that have just begun, condemn neither a request nor a part, and that streams with events
 // go on at once.
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -152,11 +152,15 @@
 		x.checkLater(err, first.EndpointIncarnation, first.Address, nil)
 		return out
 	}
+	var silent *stageError
+	if errors.As(err, &silent) {
+		return s.recordSilence(ctx, a, silent)
+	}
 	stages := a.accused(err)
 	if len(stages) == 0 {
 		return out
 	}
-	failed, crashed := x.crashed(ctx, stages, a.sentAt, err)
+	failed, crashed := x.crashed(ctx, stages, a.sentAt)
 	out.state = endpointStateOf(crashed)
 	if !crashed || ctx.Err() != nil {
 		if x.checkLater(err, first.EndpointIncarnation, first.Address, s.keys) {
@@ -165,13 +169,8 @@
 		}
 		return out
 	}
-	keys := s.keys
 	out.charge = chargeRequest
-	if isUnresponsive(err) && !x.hasEnded(ctx, failed, addressOf(a.chain(), failed)) {
-		keys = partKeysOf(s.job)
-		out.charge = chargeParts
-	}
-	x.recordCrash(failed, keys, out.charge)
+	x.recordCrash(failed, s.keys, chargeRequest)
 	return out
 }
 
@@ -181,7 +180,7 @@
 func (a *attempt) accused(err error) []identifier.Stage {
 	chain := a.chain()
 	switch {
-	case errors.Is(err, exchanger.ErrLost), isUnresponsive(err):
+	case errors.Is(err, exchanger.ErrLost):
 		return chain
 	case errors.Is(err, errNotRun) && a.failed != chain[0].EndpointIncarnation:
 		return stagesOf(chain, a.failed)
@@ -189,12 +188,6 @@
 	return nil
 }
 
-// isUnresponsive reports whether err is the silence of an endpoint.
-func isUnresponsive(err error) bool {
-	var stage *stageError
-	return errors.As(err, &stage) && stage.detail == reasonUnresponsive
-}
-
 // recordCrash records the crash of an endpoint under keys, which may be none.
 func (x *Proxier) recordCrash(incarnation identifier.EndpointIncarnation, keys []quarantiner.Key, c charge) {
 	now := time.Now()
@@ -204,22 +197,37 @@
 
 // recordSilence records that an endpoint that is silent may have crashed under a stream that is
 // not proven. If nothing listens any more at its address, it has, and the request may be the
-// cause; otherwise the parts of a prompt whose answer had not begun may be. The result is
-// false if nothing was recorded.
-func (s *stream) recordSilence(ctx context.Context, a *attempt, cause *stageError) bool {
-	x := s.proxier
+// cause; otherwise the parts of a prompt whose answer had not begun may be.
+func (s *stream) recordSilence(ctx context.Context, a *attempt, cause *stageError) finding {
+	out := finding{
+		progress: a.progress(),
+		state:    endpointsNotAsked,
+		charge:   chargeNothing,
+	}
 	if a.proven() || cause.detail != reasonUnresponsive {
-		return false
+		return out
+	}
+	out.state = endpointSilent
+	if s.recordEnd(ctx, cause.incarnation, addressOf(a.chain(), cause.incarnation)) {
+		out.state = endpointEnded
+		out.charge = chargeRequest
+		return out
 	}
-	if x.hasEnded(ctx, cause.incarnation, addressOf(a.chain(), cause.incarnation)) {
-		x.recordCrash(cause.incarnation, s.keys, chargeRequest)
-		return true
+	if parts := partKeysOf(s.job); len(parts) > 0 && !s.resumed() && out.progress == answerHeader {
+		out.charge = chargeParts
+		s.proxier.recordCrash(cause.incarnation, parts, chargeParts)
 	}
-	if len(s.job.Request.Parts) == 0 || s.resumed() || a.progress() != answerHeader {
-		return false
+	return out
+}
+
+// recordEnd records the crash of an endpoint under the request if nothing listens any more at its
+// address, and reports whether it did.
+func (s *stream) recordEnd(ctx context.Context, incarnation identifier.EndpointIncarnation, address string) bool {
+	ended := s.proxier.hasEnded(ctx, incarnation, address)
+	if ended {
+		s.proxier.recordCrash(incarnation, s.keys, chargeRequest)
 	}
-	x.recordCrash(cause.incarnation, partKeysOf(s.job), chargeParts)
-	return true
+	return ended
 }
 
 // resumed reports whether the caller has received events.
@@ -227,15 +235,10 @@
 	return s.lastEvent.Load() > s.job.Request.LastEvent
 }
 
-// crashed returns which of the stages ended under a run that was sent at the given time and
-// ended with err, and whether one did. A lost connection or a refusal alone does not show that: the
-// endpoints are asked for a report, unless the caller's time is over or the caller left, which
-// ends the connection as well.
-func (x *Proxier) crashed(ctx context.Context, stages []identifier.Stage, sentAt time.Time, err error) (identifier.EndpointIncarnation, bool) {
-	var stage *stageError
-	if errors.As(err, &stage) {
-		return stage.incarnation, stage.detail == reasonUnresponsive
-	}
+// crashed returns which of the stages ended under a run that was sent at the given time, and whether
+// one did. A lost connection or a refusal alone does not show that: the endpoints are asked for a
+// report, unless the caller's time is over or the caller left, which ends the connection as well.
+func (x *Proxier) crashed(ctx context.Context, stages []identifier.Stage, sentAt time.Time) (identifier.EndpointIncarnation, bool) {
 	if ctx.Err() != nil {
 		return identifier.EndpointIncarnation{}, false
 	}
--- a/router/proxier/finding.go
+++ b/router/proxier/finding.go
@@ -22,10 +22,12 @@
 // endpointState is what the endpoints of a run were found to be after it.
 type endpointState string
 
-// The states of the endpoints. endpointsNotAsked is that after a run that says nothing of them.
+// The states of the endpoints. endpointsNotAsked is that after a run that says nothing of them, and
+// endpointSilent that of one that answers nothing but takes connections, or may.
 const (
 	endpointsNotAsked endpointState = "not-asked"
 	endpointsAlive    endpointState = "alive"
+	endpointSilent    endpointState = "silent"
 	endpointEnded     endpointState = "ended"
 )
 
--- a/router/proxier/handover.go
+++ b/router/proxier/handover.go
@@ -24,14 +24,16 @@
 	move, stop := context.WithCancel(ctx)
 	defer stop()
 	defer context.AfterFunc(a.ctx, stop)()
+	proven := a.proven()
+	address := addressOf(a.chain(), cause.incarnation)
 	err := a.moveInTurn(ctx, move, cause, own)
 	switch {
 	case errors.Is(err, errResumed):
 		a.forgive()
 	case err != nil:
 		a.handOver(ctx, cause)
-	default:
-		a.stream.recordSilence(ctx, a, cause)
+	case !proven && cause.detail == reasonUnresponsive:
+		a.stream.recordEnd(ctx, cause.incarnation, address)
 	}
 }
 
@@ -44,7 +46,7 @@
 	if !a.startSearch(stop, cause) {
 		return
 	}
-	if a.stream.recordSilence(ctx, a, cause) && !a.stream.trusted() {
+	if a.stream.recordSilence(ctx, a, cause).crashed() && !a.stream.trusted() {
 		// The request may have crashed the endpoint.
 		sleep(search, verdictDelay)
 	}
