--- a/router/forwarder/cut_test.go
+++ b/router/forwarder/cut_test.go
@@ -47,6 +47,19 @@
 	return l.Addr().String()
 }
 
+// newForwarder returns a forwarder to a service with one endpoint.
+func newForwarder(address string) *forwarder.Forwarder {
+	pub := publisher.New()
+	pub.Publish(&publisher.View{Endpoints: map[identifier.Service][]publisher.Endpoint{"s": {{Address: address}}}})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &forwarder.Forwarder{
+		Publisher: pub,
+		Budget:    &streamer.Budget{},
+		Log:       log,
+	}
+}
+
 // TestCutResponseLooksComplete cuts a service's response at every byte. It guards against a
 // cut one that a caller of the project's own interface gets as a whole one.
 func TestCutResponseLooksComplete(t *testing.T) {
@@ -57,15 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			var end atomic.Int64
 			address := serveBytes(t, func() string { return response[:end.Load()] })
-			pub := publisher.New()
-			pub.Publish(&publisher.View{Endpoints: map[identifier.Service][]publisher.Endpoint{"s": {{Address: address}}}})
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			f := &forwarder.Forwarder{
-				Publisher: pub,
-				Budget:    &streamer.Budget{},
-				Log:       log,
-			}
+			f := newForwarder(address)
 			for n := range len(response) {
 				end.Store(int64(n))
 				got, err := f.Forward(context.Background(), forwarder.Call{
--- a/router/forwarder/status_test.go
+++ b/router/forwarder/status_test.go
@@ -3,17 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"heatherhold.dev/core/identifier"
 	"heatherhold.dev/router/forwarder"
-	"heatherhold.dev/router/publisher"
-	"heatherhold.dev/router/streamer"
 )
 
 // TestImpossibleStatusForwarded guards against a response with a status that none has, which a
@@ -22,15 +16,7 @@
 	for _, status := range []string{"000", "099", "101", "600"} {
 		t.Run(status, func(t *testing.T) {
 			address := serveBytes(t, func() string { return fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok", status) })
-			pub := publisher.New()
-			pub.Publish(&publisher.View{Endpoints: map[identifier.Service][]publisher.Endpoint{"s": {{Address: address}}}})
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			f := &forwarder.Forwarder{
-				Publisher: pub,
-				Budget:    &streamer.Budget{},
-				Log:       log,
-			}
+			f := newForwarder(address)
 			got, err := f.Forward(context.Background(), forwarder.Call{
 				Request:        "r1",
 				Service:        "s",
--- a/router/proxier/deadly_test.go
+++ b/router/proxier/deadly_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -164,24 +163,7 @@
 // TestStreamSentOnAfterEndpointsEnded guards against sending one request, which shares no
 // part of its prompt, to endpoint after endpoint of a model, although each of them ends.
 func TestStreamSentOnAfterEndpointsEnded(t *testing.T) {
-	const header = "HTTP/1.1 200 OK\r\nId: r1\r\nStamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-	fleet := newCrashingFleet(t, "", 0)
-	f := newFixture(cataloguer.Resumable, true)
-	f.proxier.Tickets = fleet
-	f.proxier.Orderer = fleet
-	var endpoints []*mortal
-	for _, name := range strings.Split("abcdefghijklmnop", "") {
-		m := newMortal(t, name, header, header+"f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n")
-		endpoints = append(endpoints, m)
-		fleet.alive = append(fleet.alive, identifier.Stage{
-			EndpointIncarnation: m.EndpointIncarnation,
-			Address:             m.Address,
-			To:                  4,
-		})
-	}
-	fleet.ended = func(address string) bool {
-		return slices.ContainsFunc(endpoints, func(m *mortal) bool { return m.Address == address && m.ended.Load() })
-	}
+	f, endpoints := newMortalModel(t, streamHeader)
 	for range 12 {
 		_ = serveBody(f, deadlyBody)
 		if err := serveBody(f, "sound"); err != nil {
