--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -70,7 +70,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		ticket, err := s.acquireLiving(ctx, pass)
+		ticket, err := s.acquireResponsive(ctx, pass)
 		if err != nil {
 			pass.End()
 			return nil, nil, err
@@ -87,10 +87,10 @@
 	}
 }
 
-// acquireLiving acquires a chain for a request with a pass. If an endpoint has crashed under
+// acquireResponsive acquires a chain for a request with a pass. If an endpoint has crashed under
 // the request, those of the chain must answer first: a crash that happened before it was
 // sent would count against it.
-func (s *stream) acquireLiving(ctx context.Context, pass *quarantiner.Pass) (*acquirer.Ticket, error) {
+func (s *stream) acquireResponsive(ctx context.Context, pass *quarantiner.Pass) (*acquirer.Ticket, error) {
 	for {
 		ticket, err := s.acquireApart(ctx, pass)
 		if err != nil || !pass.Alone() {
@@ -153,7 +153,7 @@
 	if errors.As(err, &silent) {
 		return s.recordSilence(ctx, a, silent)
 	}
-	stages := a.accused(err)
+	stages := a.crashCandidates(err)
 	if len(stages) == 0 {
 		return out
 	}
@@ -171,10 +171,10 @@
 	return out
 }
 
-// accused returns the stages of the attempt's chain of which one may have crashed under it: all
+// crashCandidates returns the stages of the attempt's chain of which one may have crashed under it: all
 // if the connection was lost, and that which another stage names if the request was refused
 // for it.
-func (a *attempt) accused(err error) []identifier.Stage {
+func (a *attempt) crashCandidates(err error) []identifier.Stage {
 	chain := a.chain()
 	switch {
 	case errors.Is(err, exchanger.ErrLost):
