Send a change of what is suspected to eight peers at most

Cause: each instance sent each change to each other one, so that the bytes grew with the square of the fleet.

A change goes to eight peers now from each instance that learned it; who is missed gets it with the next message of all records.

--- a/router/quarantiner/evidence_test.go
+++ b/router/quarantiner/evidence_test.go
@@ -119,6 +119,40 @@
 	}
 }
 
+// TestChangeSentToWholeFleetByEach guards against a change that each instance of a large fleet sends to
+// each other one, and requires that all know it within some rounds of exchanges.
+func TestChangeSentToWholeFleetByEach(t *testing.T) {
+	const (
+		instances = 90
+		rounds    = 20
+		// maxSends is how often an instance may send one change, on average.
+		maxSends = 10
+	)
+	f := newFleet(instances)
+	f.crash("i0", deadly)
+	sends := 0
+	for round := range rounds {
+		for i, from := range f.names {
+			to := f.names[(i+1+round*7)%instances]
+			request := copyOf(f.instances[from].News(f.now, to))
+			f.instances[to].Merge(f.now, request)
+			f.instances[from].Delivered(f.now, to)
+			reply := copyOf(f.instances[to].Reply(f.now, from, request))
+			f.instances[from].Merge(f.now, reply)
+			sends += len(request.GetParts()) + len(reply.GetParts())
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	for _, name := range f.names {
+		if _, refusal := f.instances[name].Admit(f.now, []quarantiner.Key{deadly}); refusal == nil {
+			t.Errorf("%s does not know of the crash after %d rounds", name, rounds)
+		}
+	}
+	if got, want := sends/instances, maxSends; got > want {
+		t.Errorf("got a change sent %d times by each instance, want at most %d", got, want)
+	}
+}
+
 // TestSecondKeyHoldsRequestTwice guards against claims that wait for each other, or are lost, where
 // two keys name one request.
 func TestSecondKeyHoldsRequestTwice(t *testing.T) {
--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -17,6 +17,9 @@
 	// wholeInterval is the least time between two messages with all records to peers that
 	// know something else, unless a peer has just started.
 	wholeInterval = time.Second
+	// maxForwards is to how many peers an instance sends a change, however large the fleet is:
+	// each of them sends it on.
+	maxForwards = 8
 	// maxSent limits the records in one message.
 	maxSent = 512
 )
@@ -45,13 +48,20 @@
 	q.delivered[to] = at
 }
 
-// newsFor returns a function that reports whether a record is news for a peer.
+// newsFor returns a function that reports whether a record is news for a peer, and counts those
+// that are as sent.
 func (q *Quarantiner) newsFor(now time.Time, to identifier.Instance) func(*record) bool {
 	since := now.Add(-newsPeriod)
 	if at, ok := q.delivered[to]; ok && at.After(since) {
 		since = at
 	}
-	return func(r *record) bool { return !r.changedAt.Before(since) }
+	return func(r *record) bool {
+		if r.forwards >= maxForwards || r.changedAt.Before(since) {
+			return false
+		}
+		r.forwards++
+		return true
+	}
 }
 
 // Reply returns the answer to a peer's message: nothing if it knows the same, otherwise what
--- a/router/quarantiner/record.go
+++ b/router/quarantiner/record.go
@@ -74,12 +74,15 @@
 	// not computed since.
 	changedAt time.Time
 	hash      uint64
+	// forwards is to how many peers the change was sent.
+	forwards int
 }
 
 // change records that the record changed at now.
 func (r *record) change(now time.Time) {
 	r.changedAt = now
 	r.hash = 0
+	r.forwards = 0
 }
 
 // lastCrash returns the time of the newest crash.
