review: complete bodies in service fill a router's memory

Bodies within max_body_bytes that are sent to their end are counted by nobody while their streams run. Some 60 of 4 MiB, beside unfinished ones, take a router over the 284 MB of its machine in 2.3 s at the speed of its link.

Cause: limiter.Bodies gives a body's share back once it is complete, and courier.Request keeps it until the request has ended.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,6 +19,7 @@
 // cases has the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*rig) (bool, error){
 	"connections": playConnections,
+	"bodies":      playBodies,
 }
 
 func main() {
