review: a stream cut off inside an event looks complete

A streaming route to a service without an engine takes the path for plain answers. A stream without length or chunks that a crash of its runner ends in the middle of an event is passed on with status 200, the runner's signature and a Content-Length that fits what is there.

Cause: Proxier.Serve chooses the path by the service's engine, not by the kind of the route; the plain path takes the end of the connection for the end of the answer.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*rig) (bool, error){
 	"connections": playConnections,
 	"bodies":      playBodies,
+	"events":      playEvents,
 }
 
 func main() {
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -67,6 +67,15 @@
 	s.wake()
 }
 
+// remove removes a row.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.putLocked(storeRow{Table: table, Key: key, Deleted: true})
+	s.wake()
+}
+
 func (s *store) putLocked(row storeRow) {
 	row.Version = s.version
 	s.rows[row.Table+"\x00"+row.Part+"\x00"+row.Key] = row
@@ -200,13 +209,15 @@
 )
 
 // putConfiguration writes a configuration like that of the small deployment: an idempotent
-// route to a plain service and a streaming one to a model service.
+// route to a plain service, a streaming one to the same, and a streaming one to a model service.
 func (s *store) putConfiguration() {
 	s.put("op", "config", marshal(map[string]any{
 		"version": 7,
 		"routes": []any{
 			map[string]any{"name": "r-sheet", "host": host, "prefix": sheetPath, "kind": "idempotent", "timeout_ms": 800,
 				"goal_ms": 150, "priority": 2, "service": plainName, "attempts": 2, "public": false},
+			map[string]any{"name": "r-live", "host": host, "prefix": livePath, "kind": "streaming", "timeout_ms": 20000,
+				"goal_ms": 500, "priority": 1, "service": plainName, "attempts": 2, "public": false, "resumable": true, "gap_aim_ms": 200},
 			map[string]any{"name": "r-draft", "host": host, "prefix": draftPath, "kind": "streaming", "timeout_ms": 20000,
 				"goal_ms": 500, "priority": 0, "service": modelName, "attempts": 2, "public": false, "sticky": true,
 				"resumable": true, "gap_aim_ms": 200},
