review: a GET that crashes runners is never known again by another query

A request without a body that crashes each runner comes again with the same path and caller and another query each time: each repeat crashes two more runners, for as long as it comes.

Cause: requestKeysOf makes a key without the query only for requests with a body.

--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -46,26 +46,31 @@
 
 // getSheet sends one ordinary idempotent request over a new connection.
 func getSheet(address string) result {
+	return get(address, sheetPath+"2f")
+}
+
+// get sends a request without a body over a new connection.
+func get(address, target string) result {
 	r := result{id: newID(), sent: time.Now()}
-	defer func() { r.ended = time.Now() }()
+	r.err = r.get(address, target)
+	r.ended = time.Now()
+	return r
+}
+
+func (r *result) get(address, target string) error {
 	c, err := net.DialTimeout("tcp", address, connectLimit)
 	if err != nil {
-		r.err = err
-		r.ended = time.Now()
-		return r
+		return err
 	}
 	defer c.Close()
 	_ = c.SetDeadline(r.sent.Add(sheetDeadline))
-	_, err = fmt.Fprintf(c, "GET %s2f HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Api-Key: %s\r\nConnection: close\r\n\r\n",
-		sheetPath, host, r.id, sheetDeadline.Milliseconds(), apiKey)
+	_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Api-Key: %s\r\nConnection: close\r\n\r\n",
+		target, host, r.id, sheetDeadline.Milliseconds(), apiKey)
 	if err != nil {
-		r.err = err
-		r.ended = time.Now()
-		return r
+		return err
 	}
 	r.read(c)
-	r.ended = time.Now()
-	return r
+	return r.err
 }
 
 // read reads the answer.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,6 +21,7 @@
 	"connections": playConnections,
 	"bodies":      playBodies,
 	"events":      playEvents,
+	"deadly":      playDeadly,
 }
 
 func main() {
