review: a crashing part beyond the 32nd is never known

A part of prompts that crashes runners is not known again if more than 31 parts stand before it: each request with it crashes one more runner, for as long as they come.

Cause: parsePromptPrefix drops all parts after the first 32.

--- a/review/rig2/deadly.go
+++ b/review/rig2/deadly.go
@@ -32,6 +32,9 @@
 	stopped bool
 	server  *http.Server
 	halt    chan struct{}
+	// service is the runner's service, and deadly tells the requests that crash it.
+	service string
+	deadly  func(q *http.Request) bool
 }
 
 // deadlyLedger holds when the request reached a runner.
@@ -59,12 +62,12 @@
 	x.address = l.Addr().String()
 	x.starts++
 	id := fmt.Sprintf("i-%x%04x", l.Addr().(*net.TCPAddr).Port, x.starts)
-	sound := &runner{rig: r, id: id, service: plainName, work: 20 * time.Millisecond, address: x.address, born: time.Now().UnixMilli()}
+	sound := &runner{rig: r, id: id, service: x.service, work: 20 * time.Millisecond, pause: eventPause, address: x.address, born: time.Now().UnixMilli()}
 	halt := make(chan struct{})
 	var once sync.Once
 	server := &http.Server{}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		if expected := q.Header.Get("X-Expect-Instance"); q.URL.Path != deadlyPath || expected != id {
+		if expected := q.Header.Get("X-Expect-Instance"); !x.deadly(q) || expected != id {
 			sound.ServeHTTP(w, q)
 			return
 		}
@@ -115,7 +118,7 @@
 	r.store.putConfiguration()
 	ledger := &deadlyLedger{rig: r}
 	for range 6 {
-		x := &deadlyRunner{ledger: ledger}
+		x := &deadlyRunner{ledger: ledger, service: plainName, deadly: func(q *http.Request) bool { return q.URL.Path == deadlyPath }}
 		if err := x.start(); err != nil {
 			return false, err
 		}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -22,6 +22,7 @@
 	"bodies":      playBodies,
 	"events":      playEvents,
 	"deadly":      playDeadly,
+	"parts":       playParts,
 }
 
 func main() {
