--- a/review/rig2/bodies.go
+++ b/review/rig2/bodies.go
@@ -29,8 +29,9 @@
 	chunkBytes    = 32 << 10
 	// longTokens is the largest output that a request of the deployment asks for.
 	longTokens = 591
-	// linkBytes is what the machine's link carries in a second.
-	linkBytes = 1000e6 / 8
+	// linkBytes is how much of what the machine's link carries in a second is used: three quarters,
+	// so that no packet waits.
+	linkBytes = 0.75 * 1000e6 / 8
 	// sendingAtOnce is how many of the bodies that are sent to their end arrive at once.
 	sendingAtOnce = 4
 	// bodiesTime is how long the case watches a router and a crowd, and calmBodiesTime how long it
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -12,6 +12,8 @@
 
 // result is what a client got to one request.
 type result struct {
+	// client is the number of the client.
+	client int
 	id     string
 	sent   time.Time
 	ended  time.Time
--- a/review/rig2/connections.go
+++ b/review/rig2/connections.go
@@ -18,9 +18,9 @@
 	watchTime = 15 * time.Second
 	// unfinished is how many clients begin a chunked body and stop just short of its end.
 	unfinished = 1600
-	// contactTime is contact_ms, and minTries how many clients must have tried meanwhile.
+	// contactTime is contact_ms, and minClients how many clients must have tried meanwhile.
 	contactTime = 3 * time.Second
-	minTries    = 7
+	minClients  = 7
 )
 
 // playConnections has many clients that send chunked bodies in very small chunks, stop just
@@ -56,7 +56,7 @@
 	var notReady []time.Time
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	for range ordinaryClients {
+	for i := range ordinaryClients {
 		group.Go(func() {
 			for {
 				select {
@@ -65,6 +65,7 @@
 				case <-time.After(ordinaryPause):
 				}
 				got := getSheet(target.front)
+				got.client = i
 				mu.Lock()
 				results = append(results, got)
 				mu.Unlock()
@@ -125,14 +126,15 @@
 }
 
 // judgeConnections looks for a time of contact_ms in which the router said that it was ready and
-// answered none of the clients that tried new connections.
+// took none of the connections that at least seven clients tried: any answer counts as taken.
 func judgeConnections(r *rig, target *router, came time.Time, results []result, notReady []time.Time) (bool, error) {
 	servedBefore, triedBefore := 0, 0
-	served, tried := 0, 0
+	answered, tried := 0, 0
 	var gapStart time.Time
-	longest, tries, longestTries := time.Duration(0), 0, 0
+	longest, longestTries, longestClients := time.Duration(0), 0, 0
+	tries, clients := 0, make(map[int]bool)
 	for _, got := range sortResults(results) {
-		r.note("sent at %.3f s: %s", got.sent.Sub(r.began).Seconds(), got.String())
+		r.note("client %d, sent at %.3f s: %s", got.client, got.sent.Sub(r.began).Seconds(), got.String())
 		if got.sent.Before(came) {
 			triedBefore++
 			if got.served() {
@@ -141,28 +143,27 @@
 			continue
 		}
 		tried++
-		if got.served() {
-			served++
+		if got.status != 0 {
+			answered++
 			gapStart, tries = time.Time{}, 0
+			clear(clients)
 			continue
 		}
 		if gapStart.IsZero() {
 			gapStart = got.sent
 		}
 		tries++
+		clients[got.client] = true
 		if d := got.sent.Sub(gapStart); d > longest {
-			longest, longestTries = d, tries
+			longest, longestTries, longestClients = d, tries, len(clients)
 		}
 	}
-	r.note("before: %d of %d requests over new connections served; after: %d of %d", servedBefore, triedBefore, served, tried)
-	r.note("longest time without any: %.1f s, with %d tries by %d clients", longest.Seconds(), longestTries, ordinaryClients)
+	r.note("before: %d of %d requests over new connections served; after: %d of %d answered, with whatever status", servedBefore, triedBefore, answered, tried)
+	r.note("longest time without any: %.1f s, with %d tries by %d clients", longest.Seconds(), longestTries, longestClients)
 	r.note("router %s said that it was not ready %d times; ended: %v", target.name, len(notReady), target.ended())
 	r.note("log lines 'connection of a caller closed': %d", r.logLines(target, "connection of a caller closed"))
-	if triedBefore < minTries || servedBefore*10 < triedBefore*9 {
+	if triedBefore < minClients || servedBefore*10 < triedBefore*9 {
 		return false, fmt.Errorf("only %d of %d requests served in calm", servedBefore, triedBefore)
 	}
-	if target.ended() {
-		return true, nil
-	}
-	return longest > contactTime && longestTries >= minTries && len(notReady) == 0, nil
+	return longest > contactTime && longestClients >= minClients && len(notReady) == 0 && !target.ended(), nil
 }
--- a/review/rig2/deadly.go
+++ b/review/rig2/deadly.go
@@ -37,11 +37,43 @@
 	deadly  func(q *http.Request) bool
 }
 
-// deadlyLedger holds when the request reached a runner.
+// deadlyLedger holds when such requests reached runners, and when runners crashed.
 type deadlyLedger struct {
-	rig  *rig
-	mu   sync.Mutex
-	runs []time.Time
+	rig      *rig
+	mu       sync.Mutex
+	arrivals []arrival
+	crashes  []time.Time
+}
+
+// arrival is a request that reached a runner.
+type arrival struct {
+	id string
+	at time.Time
+}
+
+// late returns how many arrivals, and how many requests, came later than contactTime after the n-th
+// crash.
+func (l *deadlyLedger) late(n int) (arrivals, requests int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.crashes) < n {
+		return 0, 0
+	}
+	ids := make(map[string]bool)
+	for _, a := range l.arrivals {
+		if a.at.After(l.crashes[n-1].Add(contactTime)) {
+			arrivals++
+			ids[a.id] = true
+		}
+	}
+	return arrivals, len(ids)
+}
+
+// counts returns how many arrivals and crashes there were.
+func (l *deadlyLedger) counts() (arrivals, crashes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.arrivals), len(l.crashes)
 }
 
 func (x *deadlyRunner) start() error {
@@ -71,12 +103,15 @@
 			sound.ServeHTTP(w, q)
 			return
 		}
+		request := q.Header.Get("X-Request-Id")
 		x.ledger.mu.Lock()
-		x.ledger.runs = append(x.ledger.runs, time.Now())
-		n := len(x.ledger.runs)
+		x.ledger.arrivals = append(x.ledger.arrivals, arrival{id: request, at: time.Now()})
 		x.ledger.mu.Unlock()
-		r.note("runner %s begins to run %s %s (time %d) and crashes", id, q.Header.Get("X-Request-Id"), q.URL.RequestURI(), n)
+		r.note("runner %s begins to run %s %s and crashes", id, request, q.URL.RequestURI())
 		once.Do(func() {
+			x.ledger.mu.Lock()
+			x.ledger.crashes = append(x.ledger.crashes, time.Now())
+			x.ledger.mu.Unlock()
 			close(halt)
 			_ = server.Close()
 			time.AfterFunc(backTime, func() { _ = x.start() })
@@ -169,18 +204,9 @@
 		time.Sleep(deadlyPause)
 	}
 	group.Wait()
-	ledger.mu.Lock()
-	defer ledger.mu.Unlock()
-	late := 0
-	if len(ledger.runs) >= condemnedAfter {
-		from := ledger.runs[condemnedAfter-1].Add(contactTime)
-		for _, at := range ledger.runs {
-			if at.After(from) {
-				late++
-			}
-		}
-	}
-	r.note("the request crashed runners %d times, %d of them later than %v after the third; ordinary requests: %d served, %d not", len(ledger.runs), late, contactTime, served, failed)
+	arrivals, crashes := ledger.counts()
+	late, _ := ledger.late(condemnedAfter)
+	r.note("the request reached runners %d times and crashed %d, %d times later than %v after the third; ordinary requests: %d served, %d not", arrivals, crashes, late, contactTime, served, failed)
 	if served == 0 {
 		return false, fmt.Errorf("no ordinary request was served")
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -7,6 +7,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
 )
 
 // The exit codes of a case.
@@ -16,6 +20,9 @@
 	exitNotRun = 2
 )
 
+// longest bounds a case, below the time that a script may run.
+const longest = 110 * time.Second
+
 // cases has the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*rig) (bool, error){
 	"connections": playConnections,
@@ -40,6 +47,20 @@
 		fmt.Fprintln(os.Stderr, "rig2:", err)
 		os.Exit(exitNotRun)
 	}
+	// Whatever ends the rig ends what it started.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	var group sync.WaitGroup
+	group.Go(func() {
+		select {
+		case s := <-signals:
+			r.note("ended by a signal: %v", s)
+		case <-time.After(longest):
+			r.note("not done after %v", longest)
+		}
+		r.close()
+		os.Exit(exitNotRun)
+	})
 	broken, err := play(r)
 	r.close()
 	switch {
--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -20,6 +20,12 @@
 	partsBefore = 40
 	// partCrashes is the number of crashes after which, and contactTime later, requests count.
 	partCrashes = 5
+	// maxPartRequests is how many of them may reach runners then.
+	maxPartRequests = 3
+	// partClients send ordinary drafts of partTokens, so many that those with the part are under one
+	// in twenty.
+	partClients = 24
+	partTokens  = 30
 	// partsTime is how long the requests come.
 	partsTime = 22 * time.Second
 )
@@ -62,7 +68,7 @@
 	served, failed := 0, 0
 	stop := time.Now().Add(partsTime)
 	var group sync.WaitGroup
-	for i := range draftClients {
+	for i := range partClients {
 		group.Go(func() {
 			for time.Now().Before(stop) {
 				got := r.draft(r.routers[i%len(r.routers)].front, before, false)
@@ -77,28 +83,22 @@
 			}
 		})
 	}
+	bad := 0
 	for n := 0; r.trouble && time.Now().Before(stop); n++ {
+		bad++
 		got := r.draft(r.routers[n%len(r.routers)].front, before, true)
 		r.note("client: with the part: %s", got.String())
 		time.Sleep(deadlyPause)
 	}
 	group.Wait()
-	ledger.mu.Lock()
-	defer ledger.mu.Unlock()
-	late := 0
-	if len(ledger.runs) >= partCrashes {
-		from := ledger.runs[partCrashes-1].Add(contactTime)
-		for _, at := range ledger.runs {
-			if at.After(from) {
-				late++
-			}
-		}
-	}
-	r.note("the part crashed runners %d times, %d of them later than %v after the fifth; ordinary drafts: %d served, %d not", len(ledger.runs), late, contactTime, served, failed)
+	_, crashes := ledger.counts()
+	_, late := ledger.late(partCrashes)
+	r.note("requests with the part: %d, and others: %d, of which %d not served", bad, served+failed, failed)
+	r.note("the part crashed %d runners; %d requests with it reached runners later than %v after the fifth", crashes, late, contactTime)
 	if served == 0 {
 		return false, fmt.Errorf("no ordinary draft was served")
 	}
-	return late > maxRetries, nil
+	return late > maxPartRequests, nil
 }
 
 // draft sends a request for a draft with the given number of shared parts before the last two, and
@@ -122,7 +122,7 @@
 		}
 		defer c.Close()
 		_ = c.SetDeadline(got.sent.Add(draftDeadline))
-		head := draftHead(got.id, apiKey, 90, "Content-Length: 16")
+		head := draftHead(got.id, apiKey, partTokens, "Content-Length: 16")
 		i := strings.Index(head, "X-Prompt-Prefix")
 		j := i + strings.Index(head[i:], "\r\n")
 		head = head[:i] + "X-Prompt-Prefix: " + strings.Join(parts, ",") + head[j:]
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -30,6 +31,10 @@
 	record  *os.File
 	routers []*router
 	closers []func()
+
+	// processes guards the starts and ends of processes. None is started once closed is set.
+	processes sync.Mutex
+	closed    bool
 }
 
 func newRig(record string, trouble bool) (*rig, error) {
@@ -62,6 +67,12 @@
 
 // close ends all that was started.
 func (r *rig) close() {
+	r.processes.Lock()
+	defer r.processes.Unlock()
+	if r.closed {
+		return
+	}
+	r.closed = true
 	for _, p := range r.routers {
 		p.end()
 	}
@@ -172,6 +183,11 @@
 
 // start starts a router as the deploy file says, within the machine's limit of descriptors.
 func (r *rig) start(p *router) error {
+	r.processes.Lock()
+	defer r.processes.Unlock()
+	if r.closed {
+		return errors.New("the case is over")
+	}
 	template, err := os.ReadFile("deploy/settings.toml")
 	if err != nil {
 		return err
@@ -187,6 +203,8 @@
 	p.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec target/router", maxDescriptors))
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HEATHERHOLD_NODE_FILE=" + settings}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// The process ends with the rig, also if that is killed.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -25,7 +24,6 @@
 	// work is how long a plain request takes, and pause the time between two events.
 	work  time.Duration
 	pause time.Duration
-	runs  atomic.Int64
 }
 
 // addRunner starts a runner and enters it in the store, time and again.
@@ -99,7 +97,7 @@
 	if err != nil {
 		return
 	}
-	x.runs.Add(1)
+	x.rig.note("runner %s runs %s", x.id, id)
 	w.Header().Set("X-Server-Stamp", x.id+"."+id)
 	if x.service == modelName {
 		x.stream(w, r)
