Pass answers on as their route says, whichever service they come from

Cause: Proxier.Serve took the path for events only if the service has an engine, whatever the route says; the path for plain answers keeps the body and takes the end of the connection for the end of an answer without a length.

Change: the route's Streams decides. The part that passes events on (relay) serves both paths; a stream of a plain service is resumed if its route may be, and broken off otherwise. The opposite case, a route that is no stream to a service with an engine, gets its body once it is whole. Log lines of served requests name the framing (ended-by) and the bytes.

--- a/router/exchanger/response.go
+++ b/router/exchanger/response.go
@@ -15,13 +15,34 @@
 	"heatherhold.dev/core/courier"
 )
 
+// Framing is how a response shows where its body ends.
+type Framing string
+
+// The framings. Whether a body that ends with its connection is complete can only be told from how
+// that ended and from what the body holds.
+const (
+	ByLength     Framing = "length"
+	ByChunks     Framing = "chunks"
+	ByConnection Framing = "connection"
+)
+
+// framingOf returns the framing of a response.
+func framingOf(res *http.Response) Framing {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return ByChunks
+	case res.ContentLength < 0:
+		return ByConnection
+	}
+	return ByLength
+}
+
 // Response is an endpoint's response. The caller must end it with Close or Discard.
 type Response struct {
 	Status int
 	Header http.Header
-	// UntilClose is set if the body has neither a length nor chunks and ends with the
-	// connection: whether it is complete can only be told from what it holds.
-	UntilClose bool
+	// Framing is how the response shows where its body ends.
+	Framing Framing
 	// Reused is set if the connection had carried other exchanges before: a response that
 	// names no request may be a late one to one of them.
 	Reused bool
@@ -100,7 +121,7 @@
 		}
 		r.Status = res.StatusCode
 		r.Header = res.Header
-		r.UntilClose = res.ContentLength < 0 && len(res.TransferEncoding) == 0
+		r.Framing = framingOf(res)
 		r.body = res.Body
 		r.closeAfter = res.Close
 		return nil
--- a/router/proxier/attempt.go
+++ b/router/proxier/attempt.go
@@ -1,9 +1,7 @@
 package proxier
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -61,12 +59,6 @@
 	// expected gets the time of the next event; nil if nobody waits for it.
 	expected atomic.Pointer[chan time.Time]
 
-	// pending holds the events without an id since the last event with one.
-	pending []byte
-	// bytesSinceProgress counts the bytes received since the last event that was
-	// forwarded to the caller.
-	bytesSinceProgress int
-
 	// searching is set while another chain is looked for, because the attempt makes no
 	// progress.
 	searching atomic.Bool
@@ -141,7 +133,7 @@
 	if err := a.begin(); err != nil {
 		return err
 	}
-	return a.forwardEvents()
+	return a.forwardAnswer()
 }
 
 // replaceable reports whether the request may run again after this attempt.
@@ -255,104 +247,43 @@
 	if s.started && !s.continues(a.response) {
 		return a.reject(errors.Wrapf(errFailed, "content type %.40q for a resumed stream", a.response.Header.Get("Content-Type")), a.chain()[0])
 	}
-	if !s.started && a.answering.Load() {
-		s.writeHeader(a.response)
+	if !s.started && a.answering.Load() && s.job.Route.Streams {
+		s.writeHeader(s.proxier.Codec, a.response)
 	}
 	return nil
 }
 
-const (
-	// noProgressLimit limits the bytes received without a new event. A run that
-	// starts again from the first event repeats fewer bytes.
-	noProgressLimit = 1 << 20
-	// pendingLimit limits how many of these bytes are buffered as events without an
-	// id.
-	pendingLimit = 64 << 10
-)
-
-// errNoProgress reports a stream that sends data but no new events.
-var errNoProgress = errors.New("the stream sent too many bytes without a new event")
-
-// errNoEvents reports a response that ended with its connection before a new event.
-var errNoEvents = errors.New("the connection ended before a new event")
-
-// forwardEvents forwards the events of the response, each complete and in order.
-func (a *attempt) forwardEvents() error {
+// forwardAnswer forwards the answer: events as they arrive, anything else once it is complete.
+func (a *attempt) forwardAnswer() error {
 	s := a.stream
-	if a.response.Status != http.StatusOK {
+	if a.response.Status != http.StatusOK || !s.job.Route.Streams {
 		return a.copy()
 	}
-	out := http.NewResponseController(s.w)
-	events := &splitter{reader: bufio.NewReader(a.response)}
-	for {
-		e, err := events.next()
-		now := time.Now()
-		a.recordEventTime(now)
-		if errors.Is(err, io.EOF) && a.response.UntilClose && !a.progressed.Load() {
-			err = errNoEvents
-		}
-		if errors.Is(err, io.EOF) {
-			a.response.Close(a.metadata.IdleTimeout)
-			return s.writeEvents(out, a.pending)
-		}
-		if err == nil {
-			a.reportEvent(now)
-			a.stopSearching()
-			err = a.bufferEvent(e)
-		}
-		if err != nil {
-			a.response.Discard()
-			a.failed = a.chain()[0].EndpointIncarnation
-			return errors.Wrap(exchanger.ErrLost, err.Error())
-		}
-		if e.id == 0 {
-			continue
-		}
-		a.recordFirstEvent()
-		a.recordProgress(now)
-		if err := a.forwardEvent(out, e); err != nil {
-			a.response.Discard()
-			return err
-		}
+	err := s.forwardEvents(a.response, a.metadata.IdleTimeout, a)
+	if errors.Is(err, exchanger.ErrLost) {
+		a.failed = a.chain()[0].EndpointIncarnation
 	}
+	return err
 }
 
-// bufferEvent counts the bytes of an event. It buffers an event without an id
-// until the next event with one, or the end of the stream, confirms that it
-// belongs to a valid stream.
-func (a *attempt) bufferEvent(e event) error {
-	a.bytesSinceProgress += len(e.bytes)
-	if e.id == 0 {
-		a.pending = append(a.pending, e.bytes...)
-	}
-	if a.bytesSinceProgress > noProgressLimit || len(a.pending) > pendingLimit {
-		return errNoProgress
+// eventRead records that an event was received at now, or that the stream ended.
+func (a *attempt) eventRead(now time.Time, err error) {
+	a.recordEventTime(now)
+	if err == nil {
+		a.reportEvent(now)
+		a.stopSearching()
 	}
-	return nil
 }
 
-// forwardEvent forwards an event that has an id, unless the caller already
-// received it.
-func (a *attempt) forwardEvent(out *http.ResponseController, e event) error {
-	s := a.stream
-	last := s.lastEvent.Load()
-	if e.id > last+1 {
-		return errors.Errorf("event %d follows event %d", e.id, last)
-	}
-	data := append(a.pending, e.bytes...)
-	a.pending = data[:0]
-	if e.id <= last {
-		return nil
-	}
-	if err := s.writeEvents(out, data); err != nil {
-		return err
-	}
-	a.bytesSinceProgress = 0
-	s.lastEvent.Store(e.id)
-	s.forwarded++
+// eventNumbered records that the run has made progress.
+func (a *attempt) eventNumbered(now time.Time) {
+	a.recordFirstEvent()
+	a.recordProgress(now)
+}
+
+// eventForwarded records that the caller has got an event of the run.
+func (a *attempt) eventForwarded() {
 	a.progressed.Store(true)
-	s.timing.recordEvent(time.Now())
-	return nil
 }
 
 // copy forwards a response that is not an event stream, once it has been read
@@ -365,7 +296,11 @@
 		return a.recordFailure(errors.Wrap(exchanger.ErrLost, err.Error()), a.chain()[0].EndpointIncarnation)
 	}
 	a.response.Close(0)
-	a.stream.writeHeader(a.response)
+	a.stream.framing = a.response.Framing
+	a.stream.writeHeader(a.stream.proxier.Codec, a.response)
+	if a.response.Status == http.StatusOK {
+		a.stream.timing.recordEvent(time.Now())
+	}
 	_, err := b.WriteTo(a.stream.w)
 	if err != nil {
 		return errors.Wrap(errCallerWrite, err.Error())
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -296,6 +296,10 @@
 	if run.cut || !errors.Is(run.err, exchanger.ErrLost) {
 		return
 	}
+	if run.proving.proven.Load() {
+		x.checkLater(run.err, e.EndpointIncarnation, e.Address, nil)
+		return
+	}
 	crashed := x.reports.crashed(e.EndpointIncarnation, time.Now(), func() bool { return x.dial(ctx, e.Address) != nil })
 	run.finding.state = endpointStateOf(crashed)
 	if crashed {
--- a/router/proxier/outcome.go
+++ b/router/proxier/outcome.go
@@ -51,16 +51,3 @@
 	x.Reporter.CountEnd(j.End(outcome))
 	return logrus.Fields{"outcome": outcome}
 }
-
-// outcome returns the outcome of a stream that was delivered completely. A target or pause of
-// 0 is not required of the stream.
-func (s *stream) outcome() reporter.Outcome {
-	route := s.job.Route
-	switch {
-	case route.Target > 0 && s.timing.firstEvent > route.Target:
-		return reporter.LateStart
-	case route.Gap > 0 && s.timing.longestPause > route.Gap:
-		return reporter.LatePause
-	}
-	return reporter.OnTime
-}
--- a/router/proxier/plain.go
+++ b/router/proxier/plain.go
@@ -22,19 +22,22 @@
 
 // plainRequest is one request to a plain service.
 type plainRequest struct {
+	relay
 	proxier *Proxier
 	job     Job
 	// keys are what crashes and answers are recorded under.
-	keys    []quarantiner.Key
-	w       http.ResponseWriter
-	started bool
-	late    bool
+	keys []quarantiner.Key
+	late bool
 	// ran is set once an endpoint may have run the request, and runs counts these
 	// endpoints.
 	ran   bool
 	runs  int
 	avoid []identifier.EndpointIncarnation
 	sent  sentTo
+	// crashes counts the runs under which an endpoint crashed that the request may be the cause
+	// of, and suspect is set if the request was suspected at one of them.
+	crashes int
+	suspect bool
 }
 
 // completeResponse is a response that has been read completely.
@@ -43,6 +46,8 @@
 	header http.Header
 	body   *body
 	info   courier.ResponseMetadata
+	// framing is how the endpoint showed where the body ends.
+	framing exchanger.Framing
 }
 
 // release frees the response's buffer; r may be nil.
@@ -96,13 +101,14 @@
 			done.response.release()
 			continue
 		}
-		retry := ctx.Err() == nil && p.mayRetry(done.err) && p.proxier.spendRetry(p.job.Service)
-		if !retry && done.response != nil && errors.Is(done.err, errFailed) {
+		may := ctx.Err() == nil && p.mayRetry(done.err)
+		retry := may && p.proxier.spendRetry(p.job.Service)
+		if !retry && !p.started && done.response != nil && errors.Is(done.err, errFailed) {
 			return p.serveFailure(done)
 		}
 		p.logFailure(done, retry)
-		if retry {
-			done.response.release()
+		done.response.release()
+		if retry || may && p.started && p.awaitRetry(ctx) {
 			continue
 		}
 		return finalError(ctx, p.ran, done.err)
@@ -126,9 +132,13 @@
 	})
 }
 
-// serve passes the answer of a run on and logs it. If the caller does not receive it, the
-// receiver logs the end of the request.
+// serve passes the answer of a run on, unless that was done as it arrived, and logs it. If the caller
+// does not receive it, the receiver logs the end of the request.
 func (p *plainRequest) serve(r *plainRun) error {
+	if r.streamed {
+		p.logStreamServed(r)
+		return nil
+	}
 	elapsed := time.Since(p.job.Request.Received)
 	if err := p.write(r.response); err != nil {
 		return err
@@ -157,6 +167,8 @@
 	log := p.proxier.log(p.job).WithFields(p.proxier.recordEnd(&p.job, outcome)).WithFields(logrus.Fields{
 		"endpoint": r.endpoint.Endpoint,
 		"status":   r.response.status,
+		"bytes":    r.response.body.size,
+		"ended-by": r.response.framing,
 		"tries":    len(p.avoid),
 		"taken-ms": elapsed.Milliseconds(),
 	})
@@ -173,7 +185,7 @@
 // crashed under the same request while it waited for the endpoint.
 func (p *plainRequest) choose(ctx context.Context) (*quarantiner.Pass, cataloguer.Endpoint, error) {
 	for {
-		pass, err := p.proxier.admit(ctx, p.job.Deadline, p.keys)
+		pass, err := p.proxier.admit(ctx, p.job.Deadline, p.admissionKeys())
 		if err != nil {
 			return nil, cataloguer.Endpoint{}, err
 		}
@@ -235,6 +247,9 @@
 	if errors.Is(err, exchanger.ErrNotSent) || errors.Is(err, errNotRun) {
 		return true
 	}
+	if errors.Is(err, errCallerWrite) {
+		return false
+	}
 	return p.job.Route.Repetition.Repeatable() && p.runs < p.job.Route.Attempts
 }
 
@@ -285,7 +300,7 @@
 		return balancer.Responded
 	case response != nil || errors.Is(err, errNotRun):
 		return balancer.Failed
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), errors.Is(err, errCallerWrite):
 		return balancer.Cancelled
 	}
 	return balancer.Lost
--- a/router/proxier/plainrun.go
+++ b/router/proxier/plainrun.go
@@ -24,6 +24,11 @@
 	// ran is set once the endpoint may have run the request, and cut if the run ended
 	// because the request did.
 	ran, cut bool
+	// suspect is set if the request was suspected when it was sent.
+	suspect bool
+	// streamed is set if the answer is a series of events, which were passed on as they arrived.
+	streamed bool
+	proving  proving
 	response *completeResponse
 	err      error
 	finding  finding
@@ -93,21 +98,19 @@
 
 // await returns the next run that ends. Meanwhile it starts another one if the request takes
 // long, unless that may not be or there is no endpoint or retry for it. The one that runs goes
-// on: it may be about to answer.
+// on: it may be about to answer. A stream has one run at a time: its events are passed on as they
+// arrive.
 func (r *plainRuns) await() *plainRun {
 	p := r.request
 	for {
 		var slow <-chan time.Time
-		if p.job.Route.Repetition.Repeatable() && p.runs+r.running < p.job.Route.Attempts {
+		if !p.job.Route.Streams && p.job.Route.Repetition.Repeatable() && p.runs+r.running < p.job.Route.Attempts {
 			slow = time.After(time.Duration(attemptFraction * float64(time.Until(p.job.Deadline))))
 		}
 		select {
 		case run := <-r.ended:
 			r.running--
-			if run.ran {
-				p.ran = true
-				p.runs++
-			}
+			p.count(run)
 			return run
 		case <-slow:
 			r.startBeside()
@@ -115,6 +118,18 @@
 	}
 }
 
+// count counts a run that has ended.
+func (p *plainRequest) count(run *plainRun) {
+	if run.ran {
+		p.ran = true
+		p.runs++
+	}
+	if run.finding.crashed() {
+		p.crashes++
+		p.suspect = p.suspect || run.suspect
+	}
+}
+
 // startBeside starts another run if that is possible at once.
 func (r *plainRuns) startBeside() {
 	p := r.request
@@ -144,6 +159,7 @@
 func (p *plainRequest) execute(ctx context.Context, run *plainRun) {
 	run.response, run.err = p.send(ctx, run)
 	run.cut = ctx.Err() != nil
+	run.suspect = run.pass.Suspect()
 	p.proxier.Balancer.Done(time.Now(), run.endpoint.EndpointIncarnation, outcome(ctx, run.response, run.err))
 	p.recordEvidence(ctx, run)
 	run.pass.End()
@@ -159,6 +175,7 @@
 		Customer:  j.Customer,
 		Remaining: time.Until(j.Deadline),
 		Order:     j.Order,
+		LastEvent: p.resumeAfter(),
 	}))
 	if err != nil {
 		run.ran = !errors.Is(err, exchanger.ErrNotSent)
@@ -186,6 +203,13 @@
 		response.Discard()
 		return nil, errors.Wrapf(errUnsigned, "status %d", response.Status)
 	}
+	if p.isStream(response) {
+		return p.forward(response, info, run)
+	}
+	if p.job.Route.Streams && p.started {
+		response.Discard()
+		return nil, errors.Wrapf(errFailed, "status %d, content type %.40q for a resumed stream", response.Status, response.Header.Get("Content-Type"))
+	}
 	body := &body{proxier: p.proxier}
 	if err := body.readAll(response); err != nil {
 		response.Discard()
@@ -194,10 +218,11 @@
 	}
 	response.Close(info.IdleTimeout)
 	out := &completeResponse{
-		status: response.Status,
-		header: response.Header,
-		body:   body,
-		info:   info,
+		status:  response.Status,
+		header:  response.Header,
+		body:    body,
+		info:    info,
+		framing: response.Framing,
 	}
 	if response.Status >= http.StatusInternalServerError {
 		return out, errors.Wrapf(errFailed, "status %d", response.Status)
--- a/router/proxier/proving.go
+++ b/router/proxier/proving.go
@@ -33,10 +33,16 @@
 		p.movedAt = moved
 		p.since = time.Time{}
 	}
+	if p.progress(now) {
+		a.stream.proxier.Quarantiner.RecordAnswer(now, a.stream.keys)
+	}
+}
+
+// progress records that an event was received at now. It reports whether the run has become proven by
+// it.
+func (p *proving) progress(now time.Time) bool {
 	if p.since.IsZero() {
 		p.since = now
 	}
-	if now.Sub(p.since) >= provenAfter && !p.proven.Swap(true) {
-		a.stream.proxier.Quarantiner.RecordAnswer(now, a.stream.keys)
-	}
+	return now.Sub(p.since) >= provenAfter && !p.proven.Swap(true)
 }
--- a/router/proxier/proxier.go
+++ b/router/proxier/proxier.go
@@ -113,20 +113,18 @@
 			job:     j,
 			engine:  j.Engine,
 			keys:    keysOf(j),
-			w:       w,
-			timing:  timing{startedAt: time.Now()},
 		}
-		s.lastEvent.Store(j.Request.LastEvent)
+		s.begin(w, j.Request.LastEvent)
 		err = s.run(ctx)
-		x.countOutcome(j, err, s.outcome() != reporter.OnTime)
+		x.countOutcome(j, err, s.outcome(j.Route) != reporter.OnTime)
 		return s.started, err
 	}
 	p := &plainRequest{
 		proxier: x,
 		job:     j,
 		keys:    keysOf(j),
-		w:       w,
 	}
+	p.begin(w, j.Request.LastEvent)
 	err = p.run(ctx)
 	x.countOutcome(j, err, p.late)
 	return p.started, err
--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -26,26 +25,16 @@
 
 // stream is one request to a model service.
 type stream struct {
+	relay
 	proxier *Proxier
 	job     Job
 	engine  *cataloguer.Engine
 	// keys are what crashes and answers are recorded under.
-	keys    []quarantiner.Key
-	w       http.ResponseWriter
-	started bool
-	// status is the HTTP status sent to the caller, once started.
-	status int
-	// contentType is the one that was sent to the caller.
-	contentType string
-	ran         bool
-	runs        int
+	keys []quarantiner.Key
+	ran  bool
+	runs int
 	// chainsRequested counts the requests for chains, including those for rerouting.
 	chainsRequested atomic.Int64
-	// lastEvent is the id of the last event that the caller received.
-	lastEvent atomic.Int64
-	// forwarded counts the events that were forwarded.
-	forwarded int64
-	timing    timing
 	// chain is the last chain that was used.
 	chain []identifier.Stage
 	// finding is what the end of the last run showed, and crashes counts the runs under which
@@ -136,6 +125,12 @@
 	if !s.started || errors.Is(err, errCallerWrite) || isQuarantined(err) || !s.job.Route.Repetition.Repeatable() || s.runs >= s.job.Route.Attempts {
 		return false
 	}
+	return awaitRetry(ctx, s.takeRetry)
+}
+
+// awaitRetry waits, for at least one resumeInterval, until take gets a retry, and reports whether it
+// does before ctx ends.
+func awaitRetry(ctx context.Context, take func() bool) bool {
 	t := time.NewTicker(resumeInterval)
 	defer t.Stop()
 	for {
@@ -144,7 +139,7 @@
 			return false
 		case <-t.C:
 		}
-		if s.takeRetry() {
+		if take() {
 			return true
 		}
 	}
@@ -175,9 +170,6 @@
 	return s.takeRetry()
 }
 
-// errCallerWrite reports that writing to the caller failed.
-var errCallerWrite = errors.New("write to the caller failed")
-
 // tryChain makes one attempt, and records what it shows.
 func (s *stream) tryChain(ctx context.Context) error {
 	a, err := s.nextAttempt(ctx)
@@ -298,42 +290,3 @@
 func RankOf(order int) identifier.Rank {
 	return identifier.Rank(fmt.Sprintf("order-%d", order))
 }
-
-// writeHeader writes the status and the header of the response to the caller.
-func (s *stream) writeHeader(response *exchanger.Response) {
-	s.started = true
-	s.status = response.Status
-	s.contentType = response.Header.Get("Content-Type")
-	h := s.w.Header()
-	for name, values := range s.proxier.Codec.ResponseHeader(response.Header) {
-		h[name] = values
-	}
-	s.w.WriteHeader(response.Status)
-}
-
-// continues reports whether a response can continue the stream that the caller receives:
-// one that states another media type cannot.
-func (s *stream) continues(response *exchanger.Response) bool {
-	next := response.Header.Get("Content-Type")
-	return next == "" || s.contentType == "" || mediaType(next) == mediaType(s.contentType)
-}
-
-// mediaType returns a content type without its parameters.
-func mediaType(contentType string) string {
-	name, _, _ := strings.Cut(contentType, ";")
-	return strings.ToLower(strings.TrimSpace(name))
-}
-
-// writeEvents writes complete events to the caller.
-func (s *stream) writeEvents(out *http.ResponseController, events []byte) error {
-	if len(events) == 0 {
-		return nil
-	}
-	if _, err := s.w.Write(events); err != nil {
-		return errors.Wrap(errCallerWrite, err.Error())
-	}
-	if err := out.Flush(); err != nil {
-		return errors.Wrap(errCallerWrite, err.Error())
-	}
-	return nil
-}
--- a/router/proxier/timing.go
+++ b/router/proxier/timing.go
@@ -41,6 +41,7 @@
 		"tries":      s.chainsRequested.Load(),
 		"events":     s.forwarded,
 		"status":     s.status,
+		"ended-by":   s.framing,
 		"chain":      formatChain(s.chain),
 	})
 	s.proxier.Reporter.RecordStream(s.job.Service, reporter.StreamTimings{
@@ -48,7 +49,7 @@
 		FirstEvent:   s.timing.firstEvent,
 		LongestPause: s.timing.longestPause,
 	})
-	outcome := s.outcome()
+	outcome := s.outcome(route)
 	log = log.WithFields(s.proxier.recordEnd(&s.job, outcome))
 	if outcome == reporter.OnTime {
 		log.Info("request served")
