Know each part of a prompt under which endpoints crash, however many there are

Cause: bounds of ours that drop input without a word. Behind that stood the same in quarantiner: a crash that takes requests with many parts along brings more keys than there are records, and pushed those of the part at fault out (40 of 40 requests with it were sent, TestCrowdPushesOutCrashingPart); a message with more than 512 records sent the same 512 each time. Ruled out: that other parts are blamed (no sound draft was refused).

Parts behind the first 32 keys of a request are kept as sightings, a hash each, until a second endpoint crashes under them; instances tell each other the sightings of their own requests. What does not fit into a message stays news, keys with the most crashes go first. Parts, records and sightings that are dropped for want of room are counted.

Tests of quarantiner and translator passed, those of proxier on parts and crashes with -race.

--- a/router/proxier/stream.go
+++ b/router/proxier/stream.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 32
+
 // logFailure logs an attempt that did not deliver the complete response.
 func (s *stream) logFailure(err error, retry bool) {
 	s.proxier.log(s.job).WithError(err).WithFields(s.finding.logFields()).WithFields(logrus.Fields{
@@ -109,7 +112,8 @@
 		"again":       retry,
 		"retries":     s.proxier.budget(time.Now(), s.job.Service).Remaining(),
 		"queued-ms":   s.timing.queued.Milliseconds(),
-		"parts":       s.job.Request.Parts,
+		"parts":       s.job.Request.Parts[:min(len(s.job.Request.Parts), maxLoggedParts)],
+		"part-count":  len(s.job.Request.Parts),
 		"fingerprint": s.keys[0].Name,
 	}).Warn("attempt failed")
 }
--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -30,7 +31,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
-	return q.message(now, q.newsFor(now, to))
+	m := q.newsMessage(now, to)
+	m.Sightings = q.sightingsFor(now, to)
+	return m
 }
 
 // Delivered records that a peer has got the news of the given time.
@@ -40,28 +43,47 @@
 	q.recordDelivered(newsAt, to)
 }
 
+// recordDelivered records that a peer has got the news of the given time, unless they did not fit
+// into the message: then they stay news.
 func (q *Quarantiner) recordDelivered(at time.Time, to identifier.Instance) {
 	if q.delivered == nil {
-		q.delivered = make(map[identifier.Instance]time.Time)
+		q.delivered = make(map[identifier.Instance]delivery)
+	}
+	d := q.delivered[to]
+	maps.DeleteFunc(q.delivered, func(_ identifier.Instance, d delivery) bool { return at.Sub(d.at) > newsPeriod })
+	d.at = at
+	if !d.cut {
+		d.newsAt = at
 	}
-	maps.DeleteFunc(q.delivered, func(_ identifier.Instance, old time.Time) bool { return at.Sub(old) > newsPeriod })
-	q.delivered[to] = at
+	q.delivered[to] = d
+}
+
+// delivery is what a peer last got.
+type delivery struct {
+	// at is when it got a message, and newsAt when it got one with all news.
+	at, newsAt time.Time
+	// cut is set if the last message had not all news.
+	cut bool
 }
 
-// newsFor returns a function that reports whether a record is news for a peer, and counts those
-// that are as sent.
-func (q *Quarantiner) newsFor(now time.Time, to identifier.Instance) func(*record) bool {
+// newsMessage returns a message with the records that are news for a peer, and counts them as sent.
+func (q *Quarantiner) newsMessage(now time.Time, to identifier.Instance) *messenger.Quarantine {
 	since := now.Add(-newsPeriod)
-	if at, ok := q.delivered[to]; ok && at.After(since) {
-		since = at
+	if d, ok := q.delivered[to]; ok && d.newsAt.After(since) {
+		since = d.newsAt
+	}
+	keys, cut := q.selectKeys(func(r *record) bool { return r.forwards < maxForwards && !r.changedAt.Before(since) })
+	for _, key := range keys {
+		q.records[key].forwards++
 	}
-	return func(r *record) bool {
-		if r.forwards >= maxForwards || r.changedAt.Before(since) {
-			return false
+	if d, ok := q.delivered[to]; ok || cut {
+		if q.delivered == nil {
+			q.delivered = make(map[identifier.Instance]delivery)
 		}
-		r.forwards++
-		return true
+		d.cut = cut
+		q.delivered[to] = d
 	}
+	return q.message(now, keys)
 }
 
 // Reply returns the answer to a peer's message: nothing if it knows the same, otherwise what
@@ -70,32 +92,46 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.expire(now)
-	match := q.newsFor(now, from)
+	m := q.replyMessage(now, from, peer)
+	m.Sightings = q.sightingsFor(now, from)
 	q.recordDelivered(now, from)
-	differs := peer.GetDigest() != q.digest()
-	if differs && (!peer.GetComplete() || now.Sub(q.wholeAt) >= wholeInterval) {
+	return m
+}
+
+func (q *Quarantiner) replyMessage(now time.Time, from identifier.Instance, peer *messenger.Quarantine) *messenger.Quarantine {
+	switch {
+	case peer.GetDigest() == q.digest():
+		return q.message(now, nil)
+	case !peer.GetComplete() || now.Sub(q.wholeAt) >= wholeInterval:
 		q.wholeAt = now
-		return q.message(now, func(*record) bool { return true })
+		keys, _ := q.selectKeys(func(*record) bool { return true })
+		return q.message(now, keys)
 	}
-	return q.message(now, func(r *record) bool { return differs && match(r) })
+	return q.newsMessage(now, from)
 }
 
-// message returns a message with the records that match. If there are too many, it has those
-// with the most recent crashes.
-func (q *Quarantiner) message(now time.Time, match func(*record) bool) *messenger.Quarantine {
-	m := &messenger.Quarantine{
-		Digest:   q.digest(),
-		Complete: q.complete,
-	}
-	var keys []Key
+// selectKeys returns the keys of the records that match. If there are more than maxSent, it returns those
+// with the most crashes, and of the others some at random, so that a few messages have them all; cut is
+// set then.
+func (q *Quarantiner) selectKeys(match func(*record) bool) (keys []Key, cut bool) {
 	for key, r := range q.records {
 		if match(r) {
 			keys = append(keys, key)
 		}
 	}
-	if len(keys) > maxSent {
-		q.sortByCrash(keys)
-		keys = keys[:maxSent]
+	if len(keys) <= maxSent {
+		return keys, false
+	}
+	rand.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+	slices.SortStableFunc(keys, func(a, b Key) int { return cmp.Compare(len(q.records[b].crashes), len(q.records[a].crashes)) })
+	return keys[:maxSent], true
+}
+
+// message returns a message with the records of the given keys.
+func (q *Quarantiner) message(now time.Time, keys []Key) *messenger.Quarantine {
+	m := &messenger.Quarantine{
+		Digest:   q.digest(),
+		Complete: q.complete,
 	}
 	for _, key := range keys {
 		m.Parts = append(m.Parts, q.records[key].wire(now, key))
@@ -130,6 +166,9 @@
 	for _, p := range m.GetParts() {
 		news = q.mergePart(now, p) || news
 	}
+	for _, p := range m.GetSightings() {
+		news = q.mergeSightings(now, p) || news
+	}
 	q.mu.Unlock()
 	q.announce(news)
 }
@@ -211,17 +250,22 @@
 		Released: r.released.wire(now),
 	}
 	for incarnation, at := range r.crashes {
-		m.Crashes = append(m.Crashes, &messenger.EndpointCrash{
-			Endpoint: &messenger.Mark{
-				Endpoint:    string(incarnation.Endpoint),
-				Incarnation: uint64(incarnation.Incarnation),
-			},
-			AgeMs: now.Sub(at).Milliseconds(),
-		})
+		m.Crashes = append(m.Crashes, wireCrash(now, incarnation, at))
 	}
 	return m
 }
 
+// wireCrash returns the crash of an endpoint as a message.
+func wireCrash(now time.Time, incarnation identifier.EndpointIncarnation, at time.Time) *messenger.EndpointCrash {
+	return &messenger.EndpointCrash{
+		Endpoint: &messenger.Mark{
+			Endpoint:    string(incarnation.Endpoint),
+			Incarnation: uint64(incarnation.Incarnation),
+		},
+		AgeMs: now.Sub(at).Milliseconds(),
+	}
+}
+
 func (e event) wire(now time.Time) *messenger.PartEvent {
 	if e.id == 0 {
 		return nil
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -58,22 +58,25 @@
 	OnNews func()
 	Log    logrus.FieldLogger
 
-	mu       sync.Mutex
-	records  map[Key]*record
-	answers  recentAnswers
-	tests    map[Key]time.Time
-	tested   map[Key]time.Time
-	crashed  recentCrashes
-	claims   map[Key][]*claim
-	verdicts map[Key]Verdict
-	judgedAt time.Time
-	lost     int
+	mu        sync.Mutex
+	records   map[Key]*record
+	sightings sightings
+	answers   recentAnswers
+	tests     map[Key]time.Time
+	tested    map[Key]time.Time
+	crashed   recentCrashes
+	claims    map[Key][]*claim
+	verdicts  map[Key]Verdict
+	judgedAt  time.Time
+	lost      int
+	// forgotten counts the records that were dropped, or not made, for want of room.
+	forgotten int
 	// expiredAt is when keys that are to be forgotten were last looked for.
 	expiredAt time.Time
 
 	complete bool
-	// delivered is when each peer last got what had changed, and wholeAt when one last got all.
-	delivered map[identifier.Instance]time.Time
+	// delivered is what each peer last got, and wholeAt when one last got all.
+	delivered map[identifier.Instance]delivery
 	wholeAt   time.Time
 }
 
@@ -134,7 +137,7 @@
 	verdicts := q.judge(now)
 	var out []Key
 	for _, part := range keys {
-		if _, ok := verdicts[part]; ok && part.Scope == SharedPart && !slices.Contains(out, part) {
+		if _, ok := verdicts[part]; ok && part.Scope == SharedPart {
 			out = append(out, part)
 		}
 	}
@@ -144,6 +147,7 @@
 	slices.SortFunc(out, func(a, b Key) int {
 		return cmp.Or(cmp.Compare(verdicts[b].Crashes, verdicts[a].Crashes), CompareKeys(a, b))
 	})
+	out = slices.Compact(out)
 	v := verdicts[out[0]]
 	if len(out) > 1 || q.explained(now, keys) {
 		for _, part := range out {
@@ -217,7 +221,14 @@
 	if len(keys) > 0 {
 		q.crashed.add(now, incarnation)
 	}
-	for _, key := range keys {
+	var sighted []Key
+	for i, key := range keys {
+		if i >= namedParts && q.records[key] == nil && !q.sightedElsewhere(key, incarnation) {
+			if !q.answeredLately(now, key) {
+				sighted = append(sighted, key)
+			}
+			continue
+		}
 		r := q.record(now, key)
 		if r == nil || !r.addCrash(incarnation, now) {
 			continue
@@ -226,14 +237,24 @@
 		q.reportAnswer(now, key, r)
 		news = true
 	}
+	if len(sighted) > 0 {
+		news = q.recordSightings(now, incarnation, sighted) || news
+	}
 	q.mu.Unlock()
 	q.announce(news)
 }
 
+// answeredLately reports whether an answer clears a part of a crash at now.
+func (q *Quarantiner) answeredLately(now time.Time, part Key) bool {
+	at, ok := q.answers.last(part)
+	return ok && now.Sub(at) <= answerWindow
+}
+
 // RecordAnswer records that a request with the given keys was answered.
 func (q *Quarantiner) RecordAnswer(now time.Time, keys []Key) {
 	q.mu.Lock()
 	news := false
+	q.clearSightings(keys)
 	for _, key := range keys {
 		q.answers.add(now, key)
 		if r, ok := q.records[key]; ok {
@@ -324,6 +345,13 @@
 	return q.lost
 }
 
+// Forgotten returns how many records and sightings were dropped, or not taken, for want of room.
+func (q *Quarantiner) Forgotten() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.forgotten + q.sightings.dropped
+}
+
 // record returns the record of a key, which it creates if needed; nil if no more keys
 // can be known.
 func (q *Quarantiner) record(now time.Time, key Key) *record {
@@ -337,6 +365,7 @@
 		q.evict(now)
 	}
 	if len(q.records) >= maxRecords {
+		q.forgotten++
 		q.Log.WithField("part", key).Warn("crash not recorded; too many parts are suspected")
 		return nil
 	}
@@ -344,6 +373,12 @@
 		scope:   key.Scope,
 		crashes: make(map[identifier.EndpointIncarnation]time.Time),
 	}
+	if key.Scope == SharedPart {
+		if c, ok := q.sightings.take(hashOf(key)); ok {
+			r.addCrash(c.incarnation, c.at)
+			r.change(now)
+		}
+	}
 	q.records[key] = r
 	return r
 }
@@ -367,6 +402,7 @@
 	q.expiredAt = now
 	maps.DeleteFunc(q.records, func(key Key, r *record) bool { return now.Sub(r.lastCrash()) > retentionOf(key.Scope) })
 	maps.DeleteFunc(q.tested, func(key Key, _ time.Time) bool { return q.records[key] == nil })
+	q.sightings.expire(now)
 }
 
 // evict makes room for more keys. It removes those whose last crash is too long ago and,
@@ -386,9 +422,11 @@
 	}
 	q.sortByCrash(keys)
 	slices.Reverse(keys)
-	for _, key := range keys[:min(excess, len(keys))] {
+	keys = keys[:min(excess, len(keys))]
+	for _, key := range keys {
 		delete(q.records, key)
 	}
+	q.forgotten += len(keys)
 }
 
 // judge returns the verdicts, made within verdictAge, and logs new ones.
@@ -400,23 +438,43 @@
 	old := q.verdicts
 	q.verdicts = judge(now, q.records)
 	q.judgedAt = now
+	var changed, cleared []Key
 	for key, v := range q.verdicts {
 		before, ok := old[key]
 		if key.Scope == WholeRequest {
 			q.lost += max(v.Crashes-before.Crashes, 0)
 		}
 		if !ok || before.Condemned != v.Condemned || before.Crashes != v.Crashes {
-			q.logVerdict(now, key, v)
+			changed = append(changed, key)
 		}
 	}
 	for key := range old {
 		if _, ok := q.verdicts[key]; !ok {
-			q.logCleared(key)
+			cleared = append(cleared, key)
 		}
 	}
+	q.logVerdicts(now, changed)
+	q.logCleared(cleared)
 	return q.verdicts
 }
 
+// maxVerdictLines is how many of the keys with a new verdict are logged one by one: a request may have
+// more parts than anyone reads.
+const maxVerdictLines = 32
+
+// logVerdicts logs new verdicts, those with the most crashes first.
+func (q *Quarantiner) logVerdicts(now time.Time, keys []Key) {
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(q.verdicts[b].Crashes, q.verdicts[a].Crashes), CompareKeys(a, b))
+	})
+	for _, key := range keys[:min(len(keys), maxVerdictLines)] {
+		q.logVerdict(now, key, q.verdicts[key])
+	}
+	if n := len(keys) - maxVerdictLines; n > 0 {
+		q.Log.WithField("parts", n).Warn("further verdicts on parts of prompts")
+	}
+}
+
 func (q *Quarantiner) logVerdict(now time.Time, key Key, v Verdict) {
 	entry := q.Log.WithFields(logrus.Fields{
 		"crashes":  v.Crashes,
@@ -436,12 +494,18 @@
 	}
 }
 
-func (q *Quarantiner) logCleared(key Key) {
-	if key.Scope == WholeRequest {
-		q.Log.WithField("fingerprint", key.Name).Info("request cleared")
-		return
+// logCleared logs keys that are suspected or condemned no longer.
+func (q *Quarantiner) logCleared(keys []Key) {
+	for _, key := range keys[:min(len(keys), maxVerdictLines)] {
+		if key.Scope == WholeRequest {
+			q.Log.WithField("fingerprint", key.Name).Info("request cleared")
+			continue
+		}
+		q.Log.WithField("part", key.Name).Info("part of prompts cleared")
+	}
+	if n := len(keys) - maxVerdictLines; n > 0 {
+		q.Log.WithField("parts", n).Info("further parts of prompts cleared")
 	}
-	q.Log.WithField("part", key.Name).Info("part of prompts cleared")
 }
 
 func endpointsOf(r *record) map[identifier.Endpoint]bool {
