Take a reset that the upload was told of for the end of the answer too

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written; the part came as a complete answer.

Cause: the system reports a reset to one call. A blocked write takes it, and the read after it finds an ordinary end, which is the end of an answer without a length. The write's result was looked at only to decide whether the connection is kept. Evidence: in 40 of 40 exchanges the write failed with 'connection reset by peer' and the read found the end; with a short request the read fails. Ruled out: that the reader drops the error, and that the reset is no reset.

Change: an answer that ends with its connection is whole only if the writing of the request did not fail. A write that is pending, because the endpoint reads no more, is given 50 ms and is no failure. All answers of endpoints pass through this read, plain ones and events. The project's own interface, with the standard client, had the same gap and is told now how the request was written.

--- a/router/exchanger/response.go
+++ b/router/exchanger/response.go
@@ -141,11 +141,35 @@
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if writeErr := r.writeError(); writeErr != nil {
+			return n, errors.Wrap(writeErr, "the connection ended while the request was written")
+		}
 		r.complete = true
 	}
 	return n, err
 }
 
+// resetDelay is how long after the end of a connection the error of a write may follow.
+const resetDelay = 50 * time.Millisecond
+
+// writeError returns the error with which the writing of the request has failed, if the body ends with its
+// connection. The system reports a reset once: if a write got it, a read finds an ordinary end. An endpoint
+// that reads nothing more and hasn't closed its side leaves the write pending, which is no error.
+func (r *Response) writeError() error {
+	if r.Framing != ByConnection {
+		return nil
+	}
+	timer := time.NewTimer(resetDelay)
+	defer timer.Stop()
+	select {
+	case err := <-r.writeDone:
+		r.writeDone <- err
+		return err
+	case <-timer.C:
+		return nil
+	}
+}
+
 // SetDeadline sets the deadline for subsequent reads.
 func (r *Response) SetDeadline(t time.Time) error {
 	return r.conn.SetReadDeadline(t)
--- a/router/forwarder/cut_test.go
+++ b/router/forwarder/cut_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -89,3 +90,26 @@
 		})
 	}
 }
+
+// TestResetDuringUploadForwarded guards against taking what came of an answer without a length before its
+// connection was reset for the whole one, because the call was still being written.
+func TestResetDuringUploadForwarded(t *testing.T) {
+	address := serveBytes(t, func() string { return "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart of the answer" })
+	f := newForwarder(address)
+	body := bytes.Repeat([]byte("x"), 16<<20)
+	for n := range 20 {
+		got, err := f.Forward(context.Background(), forwarder.Call{
+			Request:        identifier.Request(fmt.Sprint(n)),
+			Service:        "s",
+			Method:         http.MethodPost,
+			Path:           "/x",
+			Header:         http.Header{},
+			Body:           body,
+			AttemptTimeout: 2 * time.Second,
+			Repeatable:     true,
+		})
+		if err == nil {
+			t.Fatalf("got status %d and body %q, want an error", got.Status, got.Body)
+		}
+	}
+}
--- a/router/forwarder/forwarder.go
+++ b/router/forwarder/forwarder.go
@@ -230,6 +230,8 @@
 func (f *Forwarder) send(ctx context.Context, client *http.Client, e publisher.Endpoint, c Call) (*claimer.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.AttemptTimeout)
 	defer cancel()
+	written := make(writeResult, 1)
+	ctx = written.trace(ctx)
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+e.Address+c.Path, bytes.NewReader(c.Body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
@@ -251,6 +253,9 @@
 	if len(body) > responseLimit {
 		return nil, errors.New("the response is too large")
 	}
+	if err := written.resetError(res); err != nil {
+		return nil, errors.Wrap(err, "the connection ended while the request was written")
+	}
 	return &claimer.Response{
 		Status: res.StatusCode,
 		Header: res.Header,
