Know a caller's requests without a body again by their path

Cause: a request without a body has no key but that with its query.

Change: such requests have a key for their caller's path, judged as a part of prompts is, since sound requests may share it.

--- a/router/proxier/deadly_test.go
+++ b/router/proxier/deadly_test.go
@@ -24,8 +24,9 @@
 const (
 	// maxLostToRequest is how many endpoints may end under one request.
 	maxLostToRequest = 3
-	// deadlyBody is the body of the request under which endpoints end.
+	// deadlyBody is the body of the request under which endpoints end, and deadlyPath the path of another.
 	deadlyBody = "deadly"
+	deadlyPath = "/deadly"
 )
 
 // mortal is an endpoint that ends, with its listener and all its connections, when it
@@ -62,7 +63,7 @@
 			return
 		}
 		body, _ := io.ReadAll(r.Body)
-		if string(body) == deadlyBody {
+		if string(body) == deadlyBody || r.URL.Path == deadlyPath {
 			io.WriteString(c, header)
 			if m.delay > 0 {
 				c.Close()
--- a/router/proxier/endings_test.go
+++ b/router/proxier/endings_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"heatherhold.dev/core/cataloguer"
+	"heatherhold.dev/core/classifier"
 	"heatherhold.dev/core/courier"
 	"heatherhold.dev/core/director"
 	"heatherhold.dev/core/identifier"
@@ -116,6 +117,43 @@
 	}
 }
 
+// TestPathSentOnUnderOtherQueries guards against sending a caller's requests without a body to endpoint after
+// endpoint because their queries differ. Requests to other paths go on, and those to the same one as soon as one
+// of them is answered.
+func TestPathSentOnUnderOtherQueries(t *testing.T) {
+	// The third request may be sent again before the crash under it counts.
+	const maxLostToPath = maxLostToRequest + 1
+	f, endpoints := newMortals(t, 0)
+	get := func(customer identifier.Customer, uri string) error {
+		_, err := f.proxier.Serve(context.Background(), httptest.NewRecorder(), proxier.Job{
+			Request: &courier.Request{
+				ID:     "r1",
+				Method: http.MethodGet,
+				Host:   "h",
+				URI:    uri,
+			},
+			Customer: customer,
+			Route:    &f.route,
+			Service:  "s",
+			Deadline: time.Now().Add(2 * time.Second),
+		})
+		return err
+	}
+	for i := range 8 {
+		_ = get("a", fmt.Sprintf("%s?q=%d", deadlyPath, i))
+		time.Sleep(quarantiner.SettleTime + 50*time.Millisecond)
+		if err := get("a", fmt.Sprintf("/x?q=%d", i)); err != nil {
+			t.Errorf("got error %v for a sound request, want none", err)
+		}
+	}
+	if got := countEnded(endpoints); got == 0 || got > maxLostToPath {
+		t.Errorf("got %d endpoints ended under one path, want 1 to %d", got, maxLostToPath)
+	}
+	if err := get("b", deadlyPath+"?q=0"); kindOf(err) == classifier.Quarantined {
+		t.Errorf("got %v for another caller, want the request sent", err)
+	}
+}
+
 // laterStages grants chains of one first stage and a later stage that is alive, in turn.
 type laterStages struct {
 	first identifier.Stage
--- a/router/proxier/evidence.go
+++ b/router/proxier/evidence.go
@@ -115,8 +115,11 @@
 		action = "are refused"
 	}
 	what := "requests with part " + r.Name + " of the prompt"
-	if r.Scope == quarantiner.WholeRequest {
+	switch r.Scope {
+	case quarantiner.WholeRequest:
 		what = "the same request, " + r.Name
+	case quarantiner.SharedPath:
+		what = "the caller's requests to the same path, " + r.Name
 	}
 	return &classifier.Error{
 		Kind:       classifier.Quarantined,
--- a/router/proxier/fingerprint.go
+++ b/router/proxier/fingerprint.go
@@ -28,13 +28,19 @@
 	return identifier.Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
-// requestKeysOf returns the keys of a job's whole request. One with a body has a second one if it has
-// a query as well: callers may send it again with another query.
+// requestKeysOf returns the keys of a job's whole request. One with a query has a second one without it,
+// since callers may send it again with another query. Of a request without a body that is no more than the
+// path, which sound requests may share.
 func requestKeysOf(j Job) []quarantiner.Key {
 	uri := j.Request.URI
 	keys := []quarantiner.Key{quarantiner.RequestKey(fingerprintOf(j, uri))}
-	if path, _, ok := strings.Cut(uri, "?"); ok && len(j.Request.Body) > 0 {
+	path, _, ok := strings.Cut(uri, "?")
+	switch {
+	case !ok:
+	case len(j.Request.Body) > 0:
 		keys = append(keys, quarantiner.RequestKey(fingerprintOf(j, path)))
+	default:
+		keys = append(keys, quarantiner.PathKey(fingerprintOf(j, path)))
 	}
 	return keys
 }
--- a/router/quarantiner/quarantiner.go
+++ b/router/quarantiner/quarantiner.go
@@ -137,7 +137,7 @@
 	verdicts := q.judge(now)
 	var out []Key
 	for _, part := range keys {
-		if _, ok := verdicts[part]; ok && part.Scope == SharedPart {
+		if _, ok := verdicts[part]; ok && part.Scope.shared() {
 			out = append(out, part)
 		}
 	}
@@ -163,7 +163,7 @@
 	return slices.ContainsFunc(keys, func(part Key) bool {
 		r, ok := q.records[part]
 		_, judged := q.verdicts[part]
-		return ok && part.Scope == SharedPart && !judged && len(r.counted(now)) >= suspectedCrashes
+		return ok && part.Scope.shared() && !judged && len(r.counted(now)) >= suspectedCrashes
 	})
 }
 
@@ -487,6 +487,10 @@
 		entry.WithField("fingerprint", key.Name).Warn("request condemned for crashing endpoints")
 	case key.Scope == WholeRequest:
 		entry.WithField("fingerprint", key.Name).Warn("request suspected of crashing endpoints")
+	case key.Scope == SharedPath && v.Condemned:
+		entry.WithField("fingerprint", key.Name).Warn("path condemned for crashing endpoints")
+	case key.Scope == SharedPath:
+		entry.WithField("fingerprint", key.Name).Warn("path suspected of crashing endpoints")
 	case v.Condemned:
 		entry.WithField("part", key.Name).Warn("part of prompts condemned for crashing endpoints")
 	default:
@@ -497,11 +501,14 @@
 // logCleared logs keys that are suspected or condemned no longer.
 func (q *Quarantiner) logCleared(keys []Key) {
 	for _, key := range keys[:min(len(keys), maxVerdictLines)] {
-		if key.Scope == WholeRequest {
+		switch key.Scope {
+		case WholeRequest:
 			q.Log.WithField("fingerprint", key.Name).Info("request cleared")
-			continue
+		case SharedPath:
+			q.Log.WithField("fingerprint", key.Name).Info("path cleared")
+		default:
+			q.Log.WithField("part", key.Name).Info("part of prompts cleared")
 		}
-		q.Log.WithField("part", key.Name).Info("part of prompts cleared")
 	}
 	if n := len(keys) - maxVerdictLines; n > 0 {
 		q.Log.WithField("parts", n).Info("further parts of prompts cleared")
--- a/router/storecomponents.go
+++ b/router/storecomponents.go
@@ -275,6 +275,8 @@
 	p.Gauge(`heatherhold_quarantined_parts{verdict="condemned"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.SharedPart, true)) })
 	p.Gauge(`heatherhold_quarantined_requests{verdict="suspected"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.WholeRequest, false)) })
 	p.Gauge(`heatherhold_quarantined_requests{verdict="condemned"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.WholeRequest, true)) })
+	p.Gauge(`heatherhold_quarantined_paths{verdict="suspected"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.SharedPath, false)) })
+	p.Gauge(`heatherhold_quarantined_paths{verdict="condemned"}`, func() float64 { return float64(q.Count(time.Now(), quarantiner.SharedPath, true)) })
 	p.Gauge(`heatherhold_endpoints_lost_to_requests_total`, func() float64 { return float64(q.Lost()) })
 	p.Gauge(`heatherhold_crash_evidence_forgotten_total`, func() float64 { return float64(q.Forgotten()) })
 	p.Gauge("heatherhold_paused_endpoints", func() float64 { return float64(len(x.Balancer.Paused(time.Now()))) })
