Count complete request bodies until their requests have ended

Cause: the memory for bodies was given back with the last byte of a body, which the request keeps until it ends.

Change: complete bodies are counted until then. One over 16 KiB that does not fit into twice the memory for unfinished ones is refused before it is passed on, at once if its length is announced.

--- a/router/components.go
+++ b/router/components.go
@@ -228,6 +228,7 @@
 	b.Reporter = p
 	b.Log = log
 	p.Gauge("heatherhold_unfinished_body_bytes", func() float64 { return float64(b.Reserved()) })
+	p.Gauge("heatherhold_held_body_bytes", func() float64 { return float64(b.Held()) })
 	return b
 }
 
--- a/router/limiter/bodies.go
+++ b/router/limiter/bodies.go
@@ -23,6 +23,12 @@
 	// sameTime is the difference up to which the last bytes of two bodies count as received at
 	// the same time. Among those the largest body is dropped.
 	sameTime = time.Millisecond
+	// heldFactor is how much memory the complete bodies of requests in service may take, as a multiple of
+	// Limit.
+	heldFactor = 2
+	// smallBody is the size in bytes up to which a complete body is held in any case: nearly all requests
+	// are that small, and a caller of one must not lose against those that send large ones.
+	smallBody = 16 << 10
 	// bodyRetryAfter is the suggested retry delay of a request whose body was dropped. The caller
 	// sent nothing for longer than all others, so it is not expected back at once.
 	bodyRetryAfter = time.Second
@@ -42,9 +48,19 @@
 	}
 }
 
+// newBodyRefused returns the error for a body that is not held. The request has not run.
+func newBodyRefused() error {
+	return &classifier.Error{
+		Kind:       classifier.Overloaded,
+		Detail:     "the instance has no memory for another large request body",
+		RetryAfter: bodyRetryAfter,
+	}
+}
+
 // Bodies reads request bodies and limits the memory of all unfinished ones together. If it is
-// exceeded, the body that has gone longest without receiving a byte is dropped. Create it with
-// NewBodies and set the exported fields before use.
+// exceeded, the body that has gone longest without receiving a byte is dropped. It also limits the
+// memory of the complete ones whose requests are in service: beyond it, large ones are refused. Create it
+// with NewBodies and set the exported fields before use.
 type Bodies struct {
 	// Limit is in bytes. Twice the largest body that a request may have is always allowed.
 	Limit    int64
@@ -54,8 +70,9 @@
 	logLimiter *rate.Limiter
 
 	mu sync.Mutex
-	// reserved is the memory of all bodies that are being read, in bytes.
-	reserved int64
+	// reserved is the memory of all bodies that are being read, and held that of the complete ones
+	// whose requests are in service, in bytes.
+	reserved, held int64
 	// unfinished has the bodies that may be dropped, in the order of their last bytes.
 	unfinished *list.List
 }
@@ -88,6 +105,58 @@
 	return x.reserved
 }
 
+// Held returns the memory of the complete bodies whose requests are in service, in bytes.
+func (x *Bodies) Held() int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.held
+}
+
+// CheckRoom returns an error of kind overloaded if a body of n bytes, -1 if that is not known, can't be held
+// now. The caller allows at most largest bytes.
+func (x *Bodies) CheckRoom(n, largest int64) error {
+	if x == nil {
+		return nil
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.checkRoomLocked(n, largest)
+}
+
+func (x *Bodies) checkRoomLocked(n, largest int64) error {
+	if n <= smallBody || x.held+n <= max(heldFactor*x.Limit, 2*largest) {
+		return nil
+	}
+	x.Reporter.CountBodyDropped(bodyNotHeld)
+	if x.logLimiter.Allow() {
+		x.Log.WithFields(logrus.Fields{
+			"bytes":     n,
+			"all-bytes": x.held,
+		}).Warn("request refused; the memory for bodies in service is full")
+	}
+	return newBodyRefused()
+}
+
+// Hold counts the n bytes of a complete body until release is called, which must be done when its request
+// has ended. It returns an error of kind overloaded if there is no memory for it. The caller allows at most
+// largest bytes. A nil *Bodies holds all.
+func (x *Bodies) Hold(n, largest int64) (release func(), err error) {
+	if x == nil {
+		return func() {}, nil
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if err := x.checkRoomLocked(n, largest); err != nil {
+		return nil, err
+	}
+	x.held += n
+	return func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.held -= n
+	}, nil
+}
+
 // Read reads the whole body r, of which the caller allows at most largest bytes; 0 means no limit.
 // If the body is dropped, Read calls interrupt, which must end a read of r that is in progress, and
 // returns an error of kind overloaded with the cause ErrBodyDropped. A nil *Bodies sets no limit.
@@ -196,11 +265,12 @@
 	b.interrupt()
 }
 
-// The reasons for which bodies are dropped: the memory of all is full, or the announced length is over
-// the limit of one.
+// The reasons for which bodies are dropped: the memory of all unfinished ones is full, the announced length
+// is over the limit of one, or the memory of those in service is full.
 const (
 	bodyOverMemory = "memory"
 	bodyOverLength = "length"
+	bodyNotHeld    = "service"
 )
 
 // CheckLength reports whether a body of the announced length, -1 if none is, may be read, of which the
--- a/router/limiter/bodies_test.go
+++ b/router/limiter/bodies_test.go
@@ -224,3 +224,49 @@
 func (r slowReader) Read(p []byte) (int, error) {
 	return r.r.Read(p[:min(len(p), 1000)])
 }
+
+// TestCompleteBodiesFillMemory guards against holding the complete bodies of requests in service without a limit.
+// A small one is always held, and the largest that is allowed if no other is.
+func TestCompleteBodiesFillMemory(t *testing.T) {
+	const (
+		limit   = 1 << 20
+		largest = 512 << 10
+	)
+	x, _ := newBodies(limit)
+	var releases []func()
+	for {
+		release, err := x.Hold(largest, largest)
+		if err != nil {
+			if got := classifier.Classify(err).Kind; got != classifier.Overloaded {
+				t.Errorf("got kind %s, want overloaded", got)
+			}
+			break
+		}
+		releases = append(releases, release)
+		if len(releases) > 10 {
+			t.Fatal("got more than 10 bodies held, want a limit")
+		}
+	}
+	if got, want := x.Held(), int64(2*limit); got > want || got < limit {
+		t.Errorf("got %d bytes held, want %d to %d", got, limit, want)
+	}
+	if err := x.CheckRoom(largest, largest); err == nil {
+		t.Error("got room for an announced body, want none")
+	}
+	if err := x.CheckRoom(-1, largest); err != nil {
+		t.Errorf("got %v for a body of unknown length, want it read", err)
+	}
+	small, err := x.Hold(800, largest)
+	if err != nil {
+		t.Fatalf("got %v for a small body, want it held", err)
+	}
+	small()
+	releases[0]()
+	if _, err := x.Hold(largest, largest); err != nil {
+		t.Errorf("got %v after another one was released, want it held", err)
+	}
+	tight, _ := newBodies(1 << 10)
+	if _, err := tight.Hold(largest, largest); err != nil {
+		t.Errorf("got %v for the largest body alone, want it held", err)
+	}
+}
--- a/router/receiver/body.go
+++ b/router/receiver/body.go
@@ -58,6 +58,9 @@
 	if !x.Bodies.CheckLength(r.ContentLength, limit) {
 		return nil, newTooLarge(limit)
 	}
+	if err := x.Bodies.CheckRoom(r.ContentLength, limit); err != nil {
+		return nil, err
+	}
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(unwrap(w), r.Body, limit)
 	}
--- a/router/receiver/receiver.go
+++ b/router/receiver/receiver.go
@@ -37,7 +37,7 @@
 	Publisher *publisher.Publisher
 	Proxier   *proxier.Proxier
 	Codec     Codec
-	// Bodies limits the memory of unfinished request bodies; nil sets no limit.
+	// Bodies limits the memory of request bodies; nil sets no limit.
 	Bodies *limiter.Bodies
 	// OnRefusal, if set, is called for each request that gets an error response
 	// from the router itself.
@@ -230,6 +230,11 @@
 		active.bodyFailed = true
 		return err
 	}
+	release, err := x.Bodies.Hold(int64(len(request.Body)), v.Site.Limits.BodyBytes)
+	if err != nil {
+		return err
+	}
+	defer release()
 	if _, err := x.Proxier.Serve(ctx, w, job); err != nil {
 		return err
 	}
--- a/router/server/model.go
+++ b/router/server/model.go
@@ -131,6 +131,10 @@
 		x.bodyFailed = true
 		return nil, errTooLarge
 	}
+	if err := s.Bodies.CheckRoom(r.ContentLength, s.BodyLimit); err != nil {
+		x.bodyFailed = true
+		return nil, err
+	}
 	data, err := s.Bodies.Read(r.Body, s.BodyLimit, func() {
 		// A writer without a connection doesn't support deadlines and needs none.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
@@ -149,7 +153,8 @@
 	case err != nil:
 		return nil, classifier.Wrap(classifier.BadRequest, err, "the request body could not be read")
 	}
-	return data, nil
+	x.releaseBody, err = s.Bodies.Hold(int64(len(data)), s.BodyLimit)
+	return data, err
 }
 
 // bytesPerToken is used to estimate a prompt's number of tokens from its length.
--- a/router/server/server.go
+++ b/router/server/server.go
@@ -31,7 +31,7 @@
 	Log        logrus.FieldLogger
 	DataCentre identifier.DataCentre
 	BodyLimit  int64
-	// Bodies limits the memory of unfinished request bodies; nil sets no limit.
+	// Bodies limits the memory of request bodies; nil sets no limit.
 	Bodies *limiter.Bodies
 	// BodyTimeout limits the time that a caller takes to send a request body.
 	BodyTimeout time.Duration
@@ -106,6 +106,15 @@
 	responseStarted bool
 	// bodyFailed is set if the body could not be read to its end.
 	bodyFailed bool
+	// releaseBody ends the time in which the body counts as held; nil if there is none.
+	releaseBody func()
+}
+
+// end ends the exchange.
+func (x *exchange) end() {
+	if x.releaseBody != nil {
+		x.releaseBody()
+	}
 }
 
 type handler func(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) error
@@ -115,6 +124,7 @@
 func (s *Server) serve(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{id: identifier.Request(uuid.NewString())}
+		defer x.end()
 		ctx, span := s.Reporter.StartRequest(r, x.id)
 		ctx, cancel := context.WithCancelCause(ctx)
 		defer cancel(nil)
