Count a connection as served from the end of its request, not of its head

Cause: over the limit only idle connections and those whose head is arriving were closed; one whose body is still arriving, or waited for after a refusal, counted as served.

Change: over the limit the connection is closed that has waited longest for its caller: idle, in a head, or in a body since its last byte. A body that completes at that moment has no end, so that its request is not passed on.

--- a/router/limiter/connections.go
+++ b/router/limiter/connections.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -23,23 +25,26 @@
 	connIdle connState = iota
 	// connReceiving is the state while the header of a request arrives.
 	connReceiving
-	// connServing is the state from the end of a header to the end of the response.
+	// connBody is the state while the body of a request arrives, from the end of its header.
+	connBody
+	// connServing is the state from the end of a request to the end of the response.
 	connServing
 	connStates
 )
 
-// The reasons for which a connection is closed over the limit: it is idle, its header is arriving, or
-// it is new and all others are being served.
+// The reasons for which a connection is closed over the limit: it is idle, its header or its body is
+// arriving, or it is new and all others are being served.
 const (
 	dropIdle   = "idle"
 	dropHeader = "header"
+	dropBody   = "body"
 	dropNew    = "new"
 )
 
 // Connections limits the number of open connections. Over the limit, it closes the connection that has
-// been idle longest; if none is idle, the one whose header has been arriving longest; and if there is
-// none of these either, the new one. Create it with NewConnections and set the exported fields before
-// use.
+// waited longest for its caller: idle, since the first byte of a header, or since the last one of a body that is
+// not complete. If all are being served, it closes the new one. Create it with NewConnections and set the
+// exported fields before use.
 type Connections struct {
 	// Max is the largest number of connections; 0 means no limit.
 	Max      int
@@ -86,7 +91,7 @@
 	dropped atomic.Bool
 	// element is nil once the connection is closed. It and since are guarded by Connections.mu.
 	element *list.Element
-	// since is when the connection came to its state.
+	// since is when the connection came to its state or, in connBody, received its last byte.
 	since time.Time
 }
 
@@ -158,23 +163,31 @@
 	return out
 }
 
-// makeRoom closes a connection that is not being served. It returns false if there is none.
+// dropReasons are the states in which a connection may be closed over the limit, and the reasons for it.
+var dropReasons = []string{connIdle: dropIdle, connReceiving: dropHeader, connBody: dropBody}
+
+// makeRoom closes the connection that has waited longest for bytes of its caller. It returns false if all are
+// being served.
 func (x *Connections) makeRoom() bool {
-	for state, reason := range []string{connIdle: dropIdle, connReceiving: dropHeader} {
-		first := x.open[state].Front()
-		if first == nil {
-			continue
+	var victim *countedConn
+	for state := range dropReasons {
+		if first := x.open[state].Front(); first != nil {
+			if c := first.Value.(*countedConn); victim == nil || c.since.Before(victim.since) {
+				victim = c
+			}
 		}
-		c := first.Value.(*countedConn)
-		x.open[state].Remove(first)
-		c.element = nil
-		c.dropped.Store(true)
-		x.report(c, reason)
-		// net/http sees the closed connection at its next read; an error changes nothing.
-		_ = c.Conn.Close()
-		return true
 	}
-	return false
+	if victim == nil {
+		return false
+	}
+	state := victim.state.Load()
+	x.open[state].Remove(victim.element)
+	victim.element = nil
+	victim.dropped.Store(true)
+	x.report(victim, dropReasons[state])
+	// net/http sees the closed connection at its next read; an error changes nothing.
+	_ = victim.Conn.Close()
+	return true
 }
 
 func (x *Connections) report(c *countedConn, reason string) {
@@ -190,6 +203,29 @@
 	}).Warn("connection of a caller closed; too many are open")
 }
 
+// countedBody is the body of a request whose connection counts towards the limit.
+type countedBody struct {
+	io.ReadCloser
+	conn *countedConn
+}
+
+// Read reads from the body. Its end begins the time in which the connection is kept. A body whose
+// connection was closed for the limit has no end, so that its request is not served.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	state := connBody
+	if errors.Is(err, io.EOF) {
+		state = connServing
+	}
+	if n > 0 || state == connServing {
+		b.conn.connections.setState(b.conn, state)
+	}
+	if state == connServing && b.conn.dropped.Load() {
+		return n, net.ErrClosed
+	}
+	return n, err
+}
+
 // Listen returns a listener that counts the connections of l.
 func (x *Connections) Listen(l net.Listener) net.Listener {
 	return &countingListener{
@@ -224,7 +260,15 @@
 func (x *Connections) Attach(s *http.Server) {
 	handler, connContext, connStateHook := s.Handler, s.ConnContext, s.ConnState
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(countedKey{}).(*countedConn); ok && c.dropped.Load() {
+		c, ok := r.Context().Value(countedKey{}).(*countedConn)
+		if ok && c != nil && r.ContentLength != 0 {
+			x.setState(c, connBody)
+			r.Body = &countedBody{
+				ReadCloser: r.Body,
+				conn:       c,
+			}
+		}
+		if ok && c != nil && c.dropped.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		handler.ServeHTTP(w, r)
--- a/router/limiter/connections_test.go
+++ b/router/limiter/connections_test.go
@@ -39,6 +39,9 @@
 	log.SetOutput(io.Discard)
 	s.connections.Log = log
 	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/refuses" {
+			io.Copy(io.Discard, r.Body)
+		}
 		if r.URL.Path == "/held" {
 			s.held <- struct{}{}
 			<-s.proceed
@@ -144,3 +147,25 @@
 	}
 	waitFor(t, func() string { return fmt.Sprint(s.connections.Len()) }, "0")
 }
+
+// TestUnfinishedBodiesTakeAllConnections guards against refusing all new connections because those that are open
+// wait for the end of a body, whether the handler reads it or has refused the request. A request that is
+// complete is kept.
+func TestUnfinishedBodiesTakeAllConnections(t *testing.T) {
+	const limit = 6
+	for _, path := range []string{"/reads", "/refuses"} {
+		t.Run(path, func(t *testing.T) {
+			s := newConnectionServer(t, limit)
+			serving := s.dial(t, "POST /held HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok")
+			<-s.held
+			var stalled []net.Conn
+			for range 3 * limit {
+				stalled = append(stalled, s.dial(t, "POST "+path+" HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n"))
+				requireStatusOK(t, s.dial(t, strings.Replace(completeRequest, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)))
+			}
+			requireClosed(t, stalled[0])
+			close(s.proceed)
+			requireStatusOK(t, serving)
+		})
+	}
+}
