Vary what requests that crash endpoints look like in the test with processes

Each of the five runs has another number of parts before the one at fault (0, 40, 400), a short or a long name, and look-ups without a body, two of them with another query each time. The bounds are as they were.

--- a/router/crashes_test.go
+++ b/router/crashes_test.go
@@ -90,7 +90,11 @@
 func (s *storeSystem) request(ctx context.Context, method, path, prefix, id string) bool {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+s.caller+path, strings.NewReader("body"))
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("body")
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+s.caller+path, body)
 	if err != nil {
 		s.t.Error(err)
 		return false
@@ -109,9 +113,9 @@
 		return false
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
+	answer, err := io.ReadAll(res.Body)
 	last := fmt.Sprintf("id: %d\n", soundEvents)
-	return err == nil && res.StatusCode == http.StatusOK && (string(body) == "ok" || strings.Contains(string(body), last))
+	return err == nil && res.StatusCode == http.StatusOK && (string(answer) == "ok" || strings.Contains(string(answer), last))
 }
 
 // crashLoad is the requests that come to the routers of a crashing fleet.
@@ -148,18 +152,68 @@
 	})
 }
 
+// deadlyForm is what requests that crash endpoints look like.
+type deadlyForm struct {
+	ending ending
+	// parts is how many parts of its own a prompt has before the deadly one, and name the name of that.
+	parts int
+	name  string
+	// queries is set if a look-up comes with another query each time.
+	queries bool
+}
+
+// prefix returns the parts of the prompt of a request.
+func (f deadlyForm) prefix(id string) string {
+	var b strings.Builder
+	b.WriteString("first:2,")
+	for i := range f.parts {
+		fmt.Fprintf(&b, "%s-%d:1,", id, i)
+	}
+	return b.String() + f.name + ":4," + id + ":4"
+}
+
+// lookup returns the path and the query of a look-up.
+func (f deadlyForm) lookup(id string) string {
+	if f.queries {
+		return "/look" + deadlyPath + "?n=" + id
+	}
+	return "/look" + deadlyPath
+}
+
 // TestCrashingRequestsSentOn guards against requests, and parts of prompts, that are sent to
-// endpoint after endpoint because of how far each endpoint gets before it crashes under them.
+// endpoint after endpoint because of how far each endpoint gets before it crashes under them, of how many
+// parts stand before the one at fault, of its name, or of the query.
 func TestCrashingRequestsSentOn(t *testing.T) {
-	for name, how := range map[string]ending{
-		"before the header": beforeHeader,
-		"after the header":  afterHeader,
-		"after an event":    afterEvent,
-		"in the body":       inBody,
-		"at a later stage":  atLaterStage,
+	for name, form := range map[string]deadlyForm{
+		"before the header": {
+			ending: beforeHeader,
+			name:   deadlyPart,
+			parts:  40,
+		},
+		"after the header": {
+			ending: afterHeader,
+			name:   deadlyPart,
+		},
+		"after an event": {
+			ending:  afterEvent,
+			name:    deadlyPart,
+			parts:   400,
+			queries: true,
+		},
+		"in the body": {
+			ending: inBody,
+			name: strings.Repeat("e",
+				80) + deadlyPart,
+			queries: true,
+		},
+		"at a later stage": {
+			ending: atLaterStage,
+			name:   deadlyPart,
+			parts:  40,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			rig, systems := newCrashSystem(t, how)
+			rig, systems := newCrashSystem(t, form.ending)
 			l := &crashLoad{systems: systems}
 			ctx, cancel := context.WithTimeout(t.Context(), deadlyDuration)
 			defer cancel()
@@ -171,13 +225,13 @@
 				return s.request(background, http.MethodGet, "/look/"+id, "", id)
 			})
 			l.every(ctx, 300*time.Millisecond, false, func(s *storeSystem, id string) bool {
-				return s.request(background, http.MethodPost, "/draft/"+id, "first:2,"+deadlyPart+":4,"+id+":4", id)
+				return s.request(background, http.MethodPost, "/draft/"+id, form.prefix(id), id)
 			})
 			l.every(ctx, 300*time.Millisecond, false, func(s *storeSystem, id string) bool {
 				return s.request(background, http.MethodPost, "/draft"+deadlyPath, "first:4,whole:6", id)
 			})
 			l.every(ctx, 300*time.Millisecond, false, func(s *storeSystem, id string) bool {
-				return s.request(background, http.MethodGet, "/look"+deadlyPath, "", id)
+				return s.request(background, http.MethodGet, form.lookup(id), "", id)
 			})
 			l.group.Wait()
 			for key, allowed := range map[string]int{
