--- a/router/quarantiner/exchange.go
+++ b/router/quarantiner/exchange.go
@@ -111,8 +111,8 @@
 }
 
 // selectKeys returns the keys of the records that match. If there are more than maxSent, it returns those
-// with the most crashes, and of the others some at random, so that a few messages have them all; cut is
-// set then.
+// with the most crashes, and of the others those that were sent least, in no order, so that a few messages
+// have them all; cut is set then.
 func (q *Quarantiner) selectKeys(match func(*record) bool) (keys []Key, cut bool) {
 	for key, r := range q.records {
 		if match(r) {
@@ -123,7 +123,10 @@
 		return keys, false
 	}
 	rand.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
-	slices.SortStableFunc(keys, func(a, b Key) int { return cmp.Compare(len(q.records[b].crashes), len(q.records[a].crashes)) })
+	slices.SortStableFunc(keys, func(a, b Key) int {
+		first, second := q.records[a], q.records[b]
+		return cmp.Or(cmp.Compare(len(second.crashes), len(first.crashes)), cmp.Compare(first.forwards, second.forwards))
+	})
 	return keys[:maxSent], true
 }
 
