Leave the body of net/http's own request as it is

Counting bodies put another reader there, so that it closed at once; on the project's own interface the limit of a body had done so before.

The handler gets a copy of the request now. TestRefusalResetWithUnreadBody failed before ('broken pipe' while the body was sent).

--- a/router/limiter/connections.go
+++ b/router/limiter/connections.go
@@ -263,6 +263,8 @@
 		c, ok := r.Context().Value(countedKey{}).(*countedConn)
 		if ok && c != nil && r.ContentLength != 0 {
 			x.setState(c, connBody)
+			// net/http looks at the body of its own request to see what is left of it.
+			r = r.WithContext(r.Context())
 			r.Body = &countedBody{
 				ReadCloser: r.Body,
 				conn:       c,
--- a/router/limiter/connections_test.go
+++ b/router/limiter/connections_test.go
@@ -38,7 +38,12 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s.connections.Log = log
-	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/closes" {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
 		if r.URL.Path != "/refuses" {
 			io.Copy(io.Discard, r.Body)
 		}
@@ -169,3 +174,24 @@
 		})
 	}
 }
+
+// TestRefusalResetWithUnreadBody guards against resetting a connection right after a refusal while its caller
+// still sends the body: the caller may be told of the reset before it has read the refusal.
+func TestRefusalResetWithUnreadBody(t *testing.T) {
+	s := newConnectionServer(t, 8)
+	c := s.dial(t, "POST /closes HTTP/1.1\r\nHost: h\r\nContent-Length: 8388608\r\n\r\n")
+	for range 5 {
+		if _, err := io.WriteString(c, strings.Repeat("x", 1000)); err != nil {
+			t.Fatalf("got %v while the body was sent, want the refusal first", err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	if got, want := res.StatusCode, http.StatusRequestEntityTooLarge; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+}
