--- a/router/exchanger/response.go
+++ b/router/exchanger/response.go
@@ -154,7 +154,7 @@
 
 // writeError returns the error with which the writing of the request has failed, if the body ends with its
 // connection. The system reports a reset once: if a write got it, a read finds an ordinary end. An endpoint
-// that reads nothing more and hasn't closed its side leaves the write pending, which is no error.
+// that has ended its side and reads nothing more leaves the write pending, which is no error.
 func (r *Response) writeError() error {
 	if r.Framing != ByConnection {
 		return nil
