--- a/router/quarantiner/quarantiner_test.go
+++ b/router/quarantiner/quarantiner_test.go
@@ -343,6 +343,13 @@
 				AgeMs: 1 << 62,
 			},
 		}, {}},
+		Sightings: []*messenger.PartSightings{{
+			Crash: &messenger.EndpointCrash{
+				Endpoint: &messenger.Mark{Endpoint: "f"},
+				AgeMs:    3,
+			},
+			Hashes: []uint64{7, 7},
+		}, {}},
 	})
 	if err != nil {
 		f.Fatal(err)
