--- a/router/quarantiner/sightings.go
+++ b/router/quarantiner/sightings.go
@@ -215,7 +215,11 @@
 // endpoint gets a record. It reports whether one did.
 func (q *Quarantiner) mergeSightings(now time.Time, m *messenger.PartSightings) bool {
 	crashAge := age(m.GetCrash().GetAgeMs())
-	if m.GetCrash() == nil || crashAge > retention || len(m.GetHashes()) > maxSightings {
+	if m.GetCrash() == nil || len(m.GetHashes()) > maxSightings {
+		q.Log.WithField("parts", len(m.GetHashes())).Warn("report of sightings set aside")
+		return false
+	}
+	if crashAge > retention {
 		return false
 	}
 	s := &q.sightings
