--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -2,5 +2,6 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *field, trouble bool) (bool, error){
-	"memory": memoryCase,
+	"memory":       memoryCase,
+	"unconfigured": unconfiguredCase,
 }
--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -141,6 +142,8 @@
 		case x.status != 0:
 			calls.refused.Add(1)
 			f.log("%s: %v", r.name, x)
+			wait, _ := strconv.ParseFloat(x.header.Get("Retry-After"), 64)
+			time.Sleep(time.Duration(max(wait, 0.1) * float64(time.Second)))
 		default:
 			ran := f.hasRun(id)
 			f.log("%s: %s %s, request %d of its connection: no answer, %v; it has run: %v", r.name, q.method, x.id, n+1, x.err, ran)
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -215,3 +215,10 @@
 }
 
 func tenantKey(i int) string { return fmt.Sprintf("key-of-tenant-%d", i) }
+
+// setDown makes the store answer 503 to each call, or serve again.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
